--- /dev/null
+++ b/cmd/hickory-agent/fabric.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"hickoryworks/io/hickoryfabric"
+	"hickoryworks/io/hickorylog"
+	"hickoryworks/io/hickoryprogram"
+	"hickoryworks/platform"
+	"hickoryworks/schema/hickorysettings"
+)
+
+// runOnFabric runs on a datagram fabric.
+func runOnFabric(ctx context.Context, path string) error {
+	settings, err := readAgent(path)
+	if err != nil {
+		return err
+	}
+	queue := hickorylog.NewQueue(ctx, os.Stdout)
+	defer func() { _ = queue.Close() }() // nothing is left to log the error to
+	logger := hickorylog.New(queue, settings.Instance)
+	agent, err := hickoryfabric.NewAgent(settings, platform.Translation(), logger)
+	if err != nil {
+		return err
+	}
+	return hickoryprogram.Run(ctx, hickoryprogram.Daemon{
+		Start:  agent.Start,
+		Drain:  agent.Drain,
+		Close:  agent.Close,
+		Reload: func() { agent.Reload(readAgent(path)) },
+	}, logger)
+}
+
+func readAgent(path string) (hickorysettings.FabricAgent, error) {
+	var settings hickorysettings.FabricAgent
+	err := hickoryprogram.ReadSettings(path, &settings)
+	return settings, err
+}
--- a/cmd/hickory-agent/main.go
+++ b/cmd/hickory-agent/main.go
@@ -16,6 +16,18 @@
 }
 
 func run(ctx context.Context, path string) error {
+	fabric, err := hickoryprogram.NamesFabric(path)
+	if err != nil {
+		return err
+	}
+	if fabric {
+		return runOnFabric(ctx, path)
+	}
+	return runEncapsulated(ctx, path)
+}
+
+// runEncapsulated runs behind a fabric that encapsulates packets.
+func runEncapsulated(ctx context.Context, path string) error {
 	var settings hickorysettings.Agent
 	if err := hickoryprogram.ReadSettings(path, &settings); err != nil {
 		return err
--- /dev/null
+++ b/core/hickorydirectory/apply.go
@@ -0,0 +1,137 @@
+package hickorydirectory
+
+import (
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/schema/hickoryid"
+	"hickoryworks/schema/hickorymessage"
+)
+
+// Apply takes an answer of the store and reports whether the view has changed.
+func (d *Directory) Apply(now hickorymodel.Instant, batch *Batch) bool {
+	if d.storeLost {
+		d.storeLost = false
+		d.storeBackAt = now
+	}
+	before := d.serial
+	for i := range batch.Changes {
+		d.applyChange(now, &batch.Changes[i])
+	}
+	if batch.Complete {
+		d.removeUnnamed(now, batch)
+		d.listed = true
+	}
+	d.through = max(d.through, batch.Through)
+	return d.serial != before
+}
+
+func (d *Directory) applyChange(now hickorymodel.Instant, change *Change) {
+	switch {
+	case change.Table != nil:
+		d.setTable(change.Table)
+	case change.Upstream != nil:
+		d.setUpstream(now, change.Upstream)
+	case change.Removed != nil:
+		d.remove(now, change.Removed.ID, Revision(change.Removed.Revision))
+	case change.Zone != nil:
+		d.setZone(now, change.Zone)
+	}
+}
+
+// setTable takes a configuration with a higher version. Versions never go back.
+func (d *Directory) setTable(table *hickorymessage.RouteTable) {
+	if table.Version <= d.Version() {
+		return
+	}
+	d.table = table
+	d.serial++
+}
+
+func (d *Directory) setUpstream(now hickorymodel.Instant, entry *hickorymessage.ListedUpstream) {
+	endpoint, err := hickorymodel.ParseEndpoint(entry.Endpoint)
+	if err != nil {
+		return
+	}
+	record, known := d.upstreams[entry.ID]
+	if known && Revision(entry.Revision) <= record.revision {
+		return
+	}
+	d.dropPredecessor(entry.ID, endpoint)
+	next := &upstreamRecord{listed: *entry, revision: Revision(entry.Revision), endpoint: endpoint}
+	if left := entry.ColdTime.Value(); left > 0 {
+		next.coldUntil = now.Add(left)
+	}
+	d.upstreams[entry.ID] = next
+	d.serial++
+}
+
+// dropPredecessor forgets another upstream that had the same endpoint.
+func (d *Directory) dropPredecessor(id hickoryid.UpstreamID, endpoint hickorymodel.Endpoint) {
+	for other, record := range d.upstreams {
+		if other != id && record.endpoint == endpoint && record.removedAt != 0 {
+			delete(d.upstreams, other)
+		}
+	}
+}
+
+func (d *Directory) remove(now hickorymodel.Instant, id hickoryid.UpstreamID, revision Revision) {
+	record, known := d.upstreams[id]
+	if !known || revision <= record.revision {
+		return
+	}
+	record.revision = revision
+	if record.removedAt != 0 {
+		return
+	}
+	record.removedAt = now
+	if d.mayHaveLapsed(now) {
+		record.lapsesAt = d.storeBackAt.Add(lapseGrace)
+	}
+	d.serial++
+}
+
+// mayHaveLapsed reports whether a removal may stand for a list that lost the
+// entry while the store was away.
+func (d *Directory) mayHaveLapsed(now hickorymodel.Instant) bool {
+	return d.storeBackAt != 0 && now.Before(d.storeBackAt.Add(lapseGrace))
+}
+
+func (d *Directory) setZone(now hickorymodel.Instant, mark *hickorymessage.ZoneMark) {
+	record, known := d.zones[mark.Zone]
+	if known && mark.Revision <= record.mark.Revision {
+		return
+	}
+	next := &zoneRecord{mark: *mark}
+	if known {
+		next.returnedAt = record.returnedAt
+		if record.mark.Excluded && !mark.Excluded {
+			next.returnedAt = now
+		}
+	}
+	d.zones[mark.Zone] = next
+	d.serial++
+}
+
+// removeUnnamed removes what a listing does not name.
+func (d *Directory) removeUnnamed(now hickorymodel.Instant, batch *Batch) {
+	named := map[hickoryid.UpstreamID]bool{}
+	marked := map[hickoryid.ZoneName]bool{}
+	for i := range batch.Changes {
+		change := &batch.Changes[i]
+		if change.Upstream != nil {
+			named[change.Upstream.ID] = true
+		}
+		if change.Zone != nil {
+			marked[change.Zone.Zone] = true
+		}
+	}
+	for id := range d.upstreams {
+		if !named[id] {
+			d.remove(now, id, batch.Through)
+		}
+	}
+	for zone, record := range d.zones {
+		if !marked[zone] && record.mark.Excluded {
+			d.setZone(now, &hickorymessage.ZoneMark{Zone: zone, Revision: int(batch.Through)})
+		}
+	}
+}
--- /dev/null
+++ b/core/hickorydirectory/view.go
@@ -0,0 +1,123 @@
+package hickorydirectory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/schema/hickoryid"
+	"hickoryworks/schema/hickorymessage"
+)
+
+// ServiceHash stands for a service's name in datagrams between our processes.
+type ServiceHash uint32
+
+// HashService returns the hash of a service's name.
+func HashService(name hickoryid.ServiceName) ServiceHash {
+	return ServiceHash(xxhash.Sum64String(string(name)))
+}
+
+// View is what a balancer decides with. It never changes once it is made.
+type View struct {
+	// Version is that of the configuration; 0 while none is known.
+	Version int
+	// Known is false until the whole state has been told.
+	Known bool
+	// IdleTimeout is the time without packets after which a flow may be forgotten.
+	IdleTimeout time.Duration
+	Routes      map[hickorymodel.SocketAddress]*Route
+	// Upstreams are sorted by ID.
+	Upstreams []Upstream
+}
+
+// Route is one service address.
+type Route struct {
+	Name string
+	// Targets have positive weights.
+	Targets []Target
+	// WeightSum is the sum of the weights of Targets; 0 if there is none.
+	WeightSum int
+}
+
+// Target is a service that gets a share of a route's new flows.
+type Target struct {
+	Service ServiceHash
+	Weight  int
+}
+
+// Upstream is one upstream with what the store says of it.
+type Upstream struct {
+	ID       hickoryid.UpstreamID
+	Service  ServiceHash
+	Zone     hickoryid.ZoneName
+	Endpoint hickorymodel.Endpoint
+	Slots    hickoryid.Slots
+	// Accepting is false when the upstream leaves, has left, or its zone is out
+	// of service; open flows still go there.
+	Accepting bool
+	// ColdUntil is when the cold start ends; 0 for a warm upstream.
+	ColdUntil hickorymodel.Instant
+	// RampTime and RampRate are the service's cold start.
+	RampTime time.Duration
+	RampRate float64
+	// Revision is that of the entry.
+	Revision Revision
+}
+
+// View returns the state as of now.
+func (d *Directory) View(now hickorymodel.Instant) *View {
+	view := &View{Version: d.Version(), Known: d.Known(), Routes: map[hickorymodel.SocketAddress]*Route{}}
+	services := map[hickoryid.ServiceName]hickorymessage.RoutedService{}
+	if d.table != nil {
+		view.IdleTimeout = d.table.IdleTimeout.Value()
+		for _, service := range d.table.Services {
+			services[service.Name] = service
+		}
+		for i := range d.table.Routes {
+			view.addRoute(&d.table.Routes[i])
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
+		record := d.upstreams[id]
+		view.Upstreams = append(view.Upstreams, d.upstream(now, record, services[record.listed.Service]))
+	}
+	return view
+}
+
+func (v *View) addRoute(published *hickorymessage.Route) {
+	endpoint, err := hickorymodel.ParseEndpoint(published.Address)
+	if err != nil {
+		return
+	}
+	route := &Route{Name: published.Name}
+	for _, target := range published.Targets {
+		if target.Weight > 0 {
+			route.Targets = append(route.Targets, Target{Service: HashService(target.Service), Weight: target.Weight})
+			route.WeightSum += target.Weight
+		}
+	}
+	v.Routes[hickorymodel.NewSocketAddress(endpoint.AddrPort())] = route
+}
+
+func (d *Directory) upstream(now hickorymodel.Instant, record *upstreamRecord, service hickorymessage.RoutedService) Upstream {
+	zone := d.zones[record.listed.Zone]
+	upstream := Upstream{
+		ID:        record.listed.ID,
+		Service:   HashService(record.listed.Service),
+		Zone:      record.listed.Zone,
+		Endpoint:  record.endpoint,
+		Slots:     record.listed.Slots,
+		Accepting: record.accepting(now) && (zone == nil || !zone.mark.Excluded),
+		ColdUntil: record.coldUntil,
+		RampTime:  service.RampTime.Value(),
+		RampRate:  service.RampRate,
+		Revision:  record.revision,
+	}
+	if zone != nil && zone.returnedAt != 0 && int(record.revision) <= zone.mark.Revision {
+		upstream.ColdUntil = max(upstream.ColdUntil, zone.returnedAt.Add(upstream.RampTime+returnSlack))
+	}
+	return upstream
+}
--- /dev/null
+++ b/core/hickorysteering/agent_report.go
@@ -0,0 +1,96 @@
+package hickorysteering
+
+import (
+	"time"
+
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/schema/hickoryframe"
+)
+
+// Tick does what is due.
+func (a *Agent) Tick(now hickorymodel.Instant) []Action {
+	a.actions = a.actions[:0]
+	if a.gate.tick(now) {
+		a.decided(&Decision{Step: StepUpstreamSilent, Count: a.gate.unanswered})
+		a.reportAll(now)
+	}
+	interval := max(reportInterval, time.Second*time.Duration(len(a.balancers))/maxReportRate)
+	for endpoint, balancer := range a.balancers {
+		quiet := now.Sub(balancer.heardAt)
+		due := interval
+		if quiet > activeTime {
+			due = max(interval, idleReportInterval)
+		}
+		if quiet > balancerLife {
+			delete(a.balancers, endpoint)
+			continue
+		}
+		if balancer.reportedAt == 0 || now.Sub(balancer.reportedAt) >= due {
+			a.report(now, endpoint, balancer)
+		}
+	}
+	if now.Sub(a.sweptAt) >= sweepInterval {
+		a.sweptAt = now
+		a.sweep(now)
+	}
+	return a.actions
+}
+
+func (a *Agent) sweep(now hickorymodel.Instant) {
+	for key, f := range a.flows {
+		life := agentFlowLife
+		if f.callerEnded || f.upstreamEnded {
+			life = endedFlowLife
+		}
+		if now.Sub(f.seenAt) > life {
+			a.setBusy(f, false)
+			delete(a.flows, key)
+		}
+	}
+}
+
+func (a *Agent) reportAll(now hickorymodel.Instant) {
+	for endpoint, balancer := range a.balancers {
+		a.report(now, endpoint, balancer)
+	}
+}
+
+func (a *Agent) report(now hickorymodel.Instant, to hickorymodel.Endpoint, balancer *balancerRecord) {
+	balancer.reportedAt = now
+	action := frame(to, KindReport, ReasonNone, nil)
+	action.Verb = VerbReport
+	action.Header.Service = uint32(a.service)
+	action.Addresses = a.openAddresses()
+	action.Report = hickoryframe.Report{
+		State:     uint8(a.state()),
+		Addresses: uint8(len(action.Addresses)),
+		Flows:     uint32(a.Flows()),
+		Busy:      uint32(a.busy),
+	}
+	a.actions = append(a.actions, action)
+}
+
+func (a *Agent) state() State {
+	switch {
+	case a.stopping:
+		return StateStopping
+	case a.gate.silent:
+		return StateSilent
+	default:
+		return StateAccepting
+	}
+}
+
+// openAddresses returns the service addresses of open flows, without repeats.
+func (a *Agent) openAddresses() []hickoryframe.Address {
+	named := map[hickorymodel.SocketAddress]bool{}
+	addresses := []hickoryframe.Address{}
+	for key, f := range a.flows {
+		if !f.open() || named[key.Destination] || len(addresses) == maxReportAddresses {
+			continue
+		}
+		named[key.Destination] = true
+		addresses = append(addresses, frameAddress(key.Destination))
+	}
+	return addresses
+}
--- /dev/null
+++ b/core/hickorysteering/balancer.go
@@ -0,0 +1,240 @@
+package hickorysteering
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/schema/hickoryframe"
+	"hickoryworks/schema/hickoryid"
+)
+
+const (
+	// maxFlows bounds the cache of flows; further flows are searched for with
+	// each packet.
+	maxFlows = 1 << 18
+	// flowSlack is added to the idle timeout before a flow is forgotten.
+	flowSlack = 5 * time.Second
+	// helloInterval is the time between two hellos to an agent that is not heard.
+	helloInterval = time.Second
+	// helloLimit is the most hellos of one tick.
+	helloLimit = 32
+	// TickInterval is the time between two calls of Tick.
+	TickInterval = 100 * time.Millisecond
+	// SearchTickInterval is that time while searches run.
+	SearchTickInterval = 10 * time.Millisecond
+	// sweepInterval is the time between two removals of old flows.
+	sweepInterval = time.Second
+)
+
+// Balancer decides for one balancer. One goroutine uses it.
+type Balancer struct {
+	zone hickoryid.ZoneName
+	// agentPort is the port of the agents' data sockets.
+	agentPort uint16
+	random    *rand.Rand
+	// Decided is called with each decision.
+	decided func(*Decision)
+
+	view  *hickorydirectory.View
+	peers map[hickorymodel.Endpoint]*peer
+	// services has the listed peers of each service, in the order of the view.
+	services map[hickorydirectory.ServiceHash][]*peer
+	// flows has at most maxFlows entries.
+	flows    map[hickorymodel.FlowKey]*flow
+	searches map[hickorymodel.FlowKey]*search
+	// widening counts the searches that have agents left to ask.
+	widening int
+	sweptAt  hickorymodel.Instant
+	actions  []Action
+}
+
+// NewBalancer returns a balancer that knows nothing yet.
+func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, decided func(*Decision)) *Balancer {
+	return &Balancer{
+		zone:      zone,
+		agentPort: agentPort,
+		random:    random,
+		decided:   decided,
+		view:      &hickorydirectory.View{},
+		peers:     map[hickorymodel.Endpoint]*peer{},
+		services:  map[hickorydirectory.ServiceHash][]*peer{},
+		flows:     map[hickorymodel.FlowKey]*flow{},
+		searches:  map[hickorymodel.FlowKey]*search{},
+	}
+}
+
+// SetView puts a view of the published state in force.
+func (b *Balancer) SetView(now hickorymodel.Instant, view *hickorydirectory.View) []Action {
+	b.actions = b.actions[:0]
+	b.view = view
+	b.services = map[hickorydirectory.ServiceHash][]*peer{}
+	for _, p := range b.peers {
+		p.listed = false
+	}
+	for _, upstream := range view.Upstreams {
+		p := b.peer(b.agentOf(upstream.Endpoint))
+		if p.listed && !upstream.Accepting {
+			continue // a removed entry with the endpoint of a newer one
+		}
+		p.upstream = upstream
+		p.listed = true
+		b.services[upstream.Service] = append(b.services[upstream.Service], p)
+	}
+	b.sayHello(now)
+	return b.actions
+}
+
+// agentOf returns the agent beside an upstream.
+func (b *Balancer) agentOf(upstream hickorymodel.Endpoint) hickorymodel.Endpoint {
+	return hickorymodel.Endpoint{Address: upstream.Address, Port: b.agentPort}
+}
+
+func (b *Balancer) peer(endpoint hickorymodel.Endpoint) *peer {
+	p, ok := b.peers[endpoint]
+	if !ok {
+		p = &peer{endpoint: endpoint, addresses: map[hickorymodel.SocketAddress]hickorymodel.Instant{}}
+		b.peers[endpoint] = p
+	}
+	return p
+}
+
+// HandleReport takes the state of an agent.
+func (b *Balancer) HandleReport(now hickorymodel.Instant, from hickorymodel.Endpoint, header *hickoryframe.Header, report *hickoryframe.Report, addresses []hickoryframe.Address) {
+	b.heard(now, from).report(now, header, report, addresses)
+}
+
+// HandleNotice takes the owner of a flow.
+func (b *Balancer) HandleNotice(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, key hickorymodel.FlowKey) {
+	b.heard(now, from)
+	f := b.flow(now, key)
+	if f == nil {
+		return
+	}
+	if reason != ReasonOpen {
+		if f.stage == stageOpening {
+			f.owner = from
+			f.stage = stageAnswered
+		}
+		return
+	}
+	f.owner = from
+	f.stage = stageOpen
+	if s, ok := b.searches[key]; ok {
+		b.endSearch(key, s)
+		b.decide(&Decision{Step: StepFound, Flow: key, Peer: from, Reason: reason, Count: s.asked})
+	}
+}
+
+// heard notes a sign of life of an agent.
+func (b *Balancer) heard(now hickorymodel.Instant, from hickorymodel.Endpoint) *peer {
+	p := b.peer(from)
+	p.heardAt = now
+	p.waitingSince = 0
+	if p.silent {
+		p.silent = false
+		b.decide(&Decision{Step: StepAgentHeard, Peer: from, Upstream: p.upstream.ID})
+	}
+	return p
+}
+
+// flow returns the cached flow, which it adds if there is room.
+func (b *Balancer) flow(now hickorymodel.Instant, key hickorymodel.FlowKey) *flow {
+	f, ok := b.flows[key]
+	if !ok {
+		if len(b.flows) >= maxFlows {
+			return nil
+		}
+		f = &flow{}
+		b.flows[key] = f
+	}
+	f.seenAt = now
+	return f
+}
+
+// Tick does what is due.
+func (b *Balancer) Tick(now hickorymodel.Instant) []Action {
+	b.actions = b.actions[:0]
+	for _, p := range b.peers {
+		if !p.silent && p.waitingSince != 0 && now.Sub(p.waitingSince) > silenceLimit {
+			p.silent = true
+			b.decide(&Decision{Step: StepAgentSilent, Peer: p.endpoint, Upstream: p.upstream.ID})
+		}
+	}
+	b.sayHello(now)
+	b.widenSearches(now)
+	if now.Sub(b.sweptAt) >= sweepInterval {
+		b.sweptAt = now
+		b.sweep(now)
+	}
+	return b.actions
+}
+
+// sayHello asks agents for reports that have not been heard lately.
+func (b *Balancer) sayHello(now hickorymodel.Instant) {
+	sent := 0
+	for _, p := range b.peers {
+		if sent == helloLimit {
+			return
+		}
+		fresh := p.heardAt != 0 && now.Sub(p.heardAt) < reportLife/2
+		if !p.listed || fresh || (p.helloAt != 0 && now.Sub(p.helloAt) < helloInterval) {
+			continue
+		}
+		p.helloAt = now
+		p.sent(now)
+		b.actions = append(b.actions, frame(p.endpoint, KindHello, ReasonNone, nil))
+		sent++
+	}
+}
+
+// sweep forgets idle flows and peers that are neither listed nor heard.
+func (b *Balancer) sweep(now hickorymodel.Instant) {
+	limit := b.view.IdleTimeout + flowSlack
+	for key, f := range b.flows {
+		if now.Sub(f.seenAt) > limit {
+			delete(b.flows, key)
+		}
+	}
+	for key, s := range b.searches {
+		if now.Sub(s.startedAt) > searchLife {
+			b.endSearch(key, s)
+		}
+	}
+	for endpoint, p := range b.peers {
+		if !p.listed && now.Sub(max(p.heardAt, p.helloAt)) > addressLife {
+			delete(b.peers, endpoint)
+		}
+	}
+}
+
+// Isolated reports whether agents were asked and none has answered for a time.
+func (b *Balancer) Isolated() bool {
+	listed := 0
+	for _, p := range b.peers {
+		if !p.listed {
+			continue
+		}
+		listed++
+		if !p.silent {
+			return false
+		}
+	}
+	return listed > 0
+}
+
+// Searching reports whether a search waits to be widened.
+func (b *Balancer) Searching() bool {
+	return b.widening > 0
+}
+
+// Flows returns the number of flows in the cache.
+func (b *Balancer) Flows() int {
+	return len(b.flows)
+}
+
+func (b *Balancer) decide(decision *Decision) {
+	decision.Version = b.view.Version
+	b.decided(decision)
+}
--- /dev/null
+++ b/core/hickorysteering/choose.go
@@ -0,0 +1,94 @@
+package hickorysteering
+
+import (
+	"time"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+)
+
+const (
+	// flowLoad is the share of a slot that an open flow without a pending
+	// request is expected to keep busy.
+	flowLoad = 0.05
+	// localLimit is the load up to which upstreams of the own zone are used
+	// without a look at other zones.
+	localLimit = 0.75
+	// remoteMargin is how much higher the load of the own zone must be, beyond
+	// localLimit, before a flow goes to another zone.
+	remoteMargin = 0.4
+	// coldLoad is added to the load of an upstream in cold start.
+	coldLoad = 0.5
+	// unansweredLife is how long an upstream that left a first packet
+	// unanswered is the last choice.
+	unansweredLife = 700 * time.Millisecond
+	// tieLoad bounds the random number that separates equal loads.
+	tieLoad = 0.02
+)
+
+// candidate is the best upstream of one zone class.
+type candidate struct {
+	peer *peer
+	cost float64
+}
+
+func (c *candidate) offer(p *peer, cost float64) {
+	if c.peer == nil || cost < c.cost {
+		c.peer = p
+		c.cost = cost
+	}
+}
+
+// choose returns the upstream for a new flow and its load, or nil when none
+// that was not tried takes new flows. Upstreams that look dead are used only
+// when no other is left.
+func (b *Balancer) choose(now hickorymodel.Instant, service hickorydirectory.ServiceHash, tried *triedList) (*peer, float64) {
+	var local, remote, doubtful candidate
+	for _, p := range b.services[service] {
+		if !p.upstream.Accepting || tried.has(p.endpoint) {
+			continue
+		}
+		cost := p.load() + tieLoad*b.random.Float64()
+		if p.cold(now) {
+			cost += coldLoad
+		}
+		switch {
+		case b.doubts(now, p):
+			doubtful.offer(p, cost)
+		case p.upstream.Zone == b.zone:
+			local.offer(p, cost)
+		default:
+			remote.offer(p, cost)
+		}
+	}
+	switch {
+	case local.peer != nil && (remote.peer == nil || local.cost <= localLimit || local.cost <= remote.cost+remoteMargin):
+		return local.peer, local.cost
+	case remote.peer != nil:
+		return remote.peer, remote.cost
+	default:
+		return doubtful.peer, doubtful.cost
+	}
+}
+
+// doubts reports whether an upstream or its agent may not answer.
+func (b *Balancer) doubts(now hickorymodel.Instant, p *peer) bool {
+	unanswered := p.unansweredAt != 0 && now.Sub(p.unansweredAt) < unansweredLife
+	return p.silent || p.refuses(now) || unanswered
+}
+
+// target returns the service of a new flow. It depends on the flow alone, so
+// that copies of a first packet go to the same service.
+func target(route *hickorydirectory.Route, flow hickorymodel.FlowKey) (hickorydirectory.ServiceHash, bool) {
+	if route.WeightSum == 0 {
+		return 0, false
+	}
+	point := int(flow.Hash() % uint64(route.WeightSum))
+	for _, t := range route.Targets {
+		if point < t.Weight {
+			return t.Service, true
+		}
+		point -= t.Weight
+	}
+	return 0, false
+}
--- /dev/null
+++ b/core/hickorysteering/pass.go
@@ -0,0 +1,91 @@
+package hickorysteering
+
+import (
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+)
+
+// pass sends a packet of an open flow to its owner, or searches for the owner.
+func (b *Balancer) pass(now hickorymodel.Instant, p *Packet) {
+	f, known := b.flows[p.Flow]
+	if known {
+		f.seenAt = now
+	}
+	if known && !f.owner.IsZero() {
+		b.send(now, p.Bytes, b.peer(f.owner))
+		return
+	}
+	b.search(now, p, hickorymodel.Endpoint{})
+}
+
+func (b *Balancer) send(now hickorymodel.Instant, packet []byte, to *peer) {
+	to.sent(now)
+	b.actions = append(b.actions, frame(to.endpoint, KindData, ReasonNone, packet))
+}
+
+// HandleReturn decides on a packet that an agent sent back.
+func (b *Balancer) HandleReturn(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, p *Packet) []Action {
+	b.actions = b.actions[:0]
+	b.heard(now, from)
+	if p.First {
+		b.refused(now, from, reason, p)
+		return b.actions
+	}
+	f, known := b.flows[p.Flow]
+	held := known && f.owner == from && f.stage == stageOpen
+	if reason == ReasonEnded || held {
+		b.lose(from, reason, p)
+		return b.actions
+	}
+	if known && f.owner == from {
+		f.owner = hickorymodel.Endpoint{}
+	}
+	if known && !f.owner.IsZero() {
+		b.send(now, p.Bytes, b.peer(f.owner))
+		return b.actions
+	}
+	b.missed(now, from, p)
+	return b.actions
+}
+
+// lose ends a flow that its upstream held and holds no more, so that the caller
+// need not wait for answers.
+func (b *Balancer) lose(from hickorymodel.Endpoint, reason Reason, p *Packet) {
+	delete(b.flows, p.Flow)
+	if s, ok := b.searches[p.Flow]; ok {
+		b.endSearch(p.Flow, s)
+	}
+	b.decide(&Decision{Step: StepLost, Flow: p.Flow, Peer: from, Reason: reason})
+	b.reset(p)
+}
+
+// holders returns the agents that may hold a flow: the own zone's first.
+func (b *Balancer) holders(now hickorymodel.Instant, address hickorymodel.SocketAddress, except hickorymodel.Endpoint) (near, far []hickorymodel.Endpoint) {
+	route := b.view.Routes[address]
+	for _, endpoint := range b.sortedPeers() {
+		p := b.peers[endpoint]
+		mayHold := p.holds(now, address) || serves(route, p)
+		if endpoint == except || !mayHold {
+			continue
+		}
+		if p.listed && p.upstream.Zone == b.zone {
+			near = append(near, endpoint)
+		} else {
+			far = append(far, endpoint)
+		}
+	}
+	return near, far
+}
+
+// serves reports whether an agent's upstream belongs to a service of the route.
+func serves(route *hickorydirectory.Route, p *peer) bool {
+	if route == nil || !p.listed {
+		return false
+	}
+	for _, t := range route.Targets {
+		if t.Service == p.upstream.Service {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/hickorysteering/search.go
@@ -0,0 +1,126 @@
+package hickorysteering
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hickoryworks/core/hickorymodel"
+)
+
+const (
+	// searchLife bounds a search; a later packet of the flow starts a new one.
+	searchLife = 3 * time.Second
+	// widenTime is how long the own zone is searched alone.
+	widenTime = 20 * time.Millisecond
+	// repeatTime tells a repeated packet, which the caller sends after 200 ms,
+	// from the next one of the same burst.
+	repeatTime = 150 * time.Millisecond
+	// maxSearches bounds the searches that run at one time.
+	maxSearches = 1 << 14
+)
+
+// search looks for the owner of one flow.
+type search struct {
+	// pending are the agents that were asked and have not sent the packet back.
+	pending []hickorymodel.Endpoint
+	// later are the agents that are not asked yet.
+	later     []hickorymodel.Endpoint
+	startedAt hickorymodel.Instant
+	// packet is the newest packet of the flow.
+	packet Packet
+	asked  int
+}
+
+// search sends a packet of an unknown flow to the agents that may hold it.
+func (b *Balancer) search(now hickorymodel.Instant, p *Packet, except hickorymodel.Endpoint) {
+	s, running := b.searches[p.Flow]
+	if running {
+		s.packet = *p
+		if now.Sub(s.startedAt) > repeatTime {
+			b.widen(now, s)
+		}
+		b.ask(now, s, s.pending)
+		return
+	}
+	if len(b.searches) >= maxSearches {
+		b.decide(&Decision{Step: StepUnknown, Flow: p.Flow})
+		return
+	}
+	near, far := b.holders(now, p.Flow.Destination, except)
+	if len(near)+len(far) == 0 {
+		b.decide(&Decision{Step: StepUnknown, Flow: p.Flow})
+		return
+	}
+	if len(near) == 0 {
+		near, far = far, nil
+	}
+	s = &search{pending: near, later: far, startedAt: now, packet: *p}
+	b.searches[p.Flow] = s
+	if len(far) > 0 {
+		b.widening++
+	}
+	b.decide(&Decision{Step: StepSearched, Flow: p.Flow, Peer: except, Count: len(near) + len(far)})
+	b.ask(now, s, s.pending)
+}
+
+func (b *Balancer) ask(now hickorymodel.Instant, s *search, agents []hickorymodel.Endpoint) {
+	for _, endpoint := range agents {
+		s.asked++
+		b.send(now, s.packet.Bytes, b.peer(endpoint))
+	}
+}
+
+// widen moves the search on to all agents.
+func (b *Balancer) widen(now hickorymodel.Instant, s *search) {
+	if len(s.later) == 0 {
+		return
+	}
+	later := s.later
+	s.later = nil
+	b.widening--
+	s.pending = append(s.pending, later...)
+	b.ask(now, s, later)
+}
+
+func (b *Balancer) endSearch(key hickorymodel.FlowKey, s *search) {
+	if len(s.later) > 0 {
+		b.widening--
+	}
+	delete(b.searches, key)
+}
+
+// missed notes that an agent does not hold a flow.
+func (b *Balancer) missed(now hickorymodel.Instant, from hickorymodel.Endpoint, p *Packet) {
+	s, running := b.searches[p.Flow]
+	if !running {
+		b.search(now, p, from)
+		return
+	}
+	s.pending = slices.DeleteFunc(s.pending, func(endpoint hickorymodel.Endpoint) bool { return endpoint == from })
+	if len(s.pending) > 0 {
+		return
+	}
+	if len(s.later) > 0 {
+		b.widen(now, s)
+		return
+	}
+	b.endSearch(p.Flow, s)
+	b.decide(&Decision{Step: StepNotFound, Flow: p.Flow, Count: s.asked})
+}
+
+// widenSearches moves searches on that the own zone has not answered.
+func (b *Balancer) widenSearches(now hickorymodel.Instant) {
+	if b.widening == 0 {
+		return
+	}
+	for _, s := range b.searches {
+		if now.Sub(s.startedAt) > widenTime {
+			b.widen(now, s)
+		}
+	}
+}
+
+func (b *Balancer) sortedPeers() []hickorymodel.Endpoint {
+	return slices.SortedFunc(maps.Keys(b.peers), hickorymodel.Endpoint.Compare)
+}
--- /dev/null
+++ b/io/hickoryfabric/balancer.go
@@ -0,0 +1,224 @@
+package hickoryfabric
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/io/hickoryclock"
+	"hickoryworks/io/hickoryduty"
+	"hickoryworks/io/hickorylog"
+	"hickoryworks/io/hickorymetric"
+	"hickoryworks/io/hickoryring"
+	"hickoryworks/io/hickoryrpc"
+	"hickoryworks/io/hickorysocket"
+	"hickoryworks/schema/hickorysettings"
+)
+
+// Ring capacities hold about 100 ms of packets at 10,000 packets a second.
+const (
+	receiveCapacity = 1024
+	sendCapacity    = 1024
+)
+
+// Balancer sends the packets of callers to agents.
+type Balancer struct {
+	settings    hickorysettings.FabricBalancer
+	translation Translation
+	store       Store
+	logger      *hickorylog.Logger
+	scope       tally.Scope
+	clock       *hickoryclock.Clock
+	random      *rand.Rand
+
+	// callers is the socket of the fabric, agents the one of our own frames.
+	callers *hickorysocket.Socket
+	agents  *hickorysocket.Socket
+	control *hickoryrpc.Server
+	ready   *readiness
+	// exporter is nil when the settings name no metrics endpoint.
+	exporter *hickorymetric.Exporter
+	calls    *hickoryrpc.Client
+	rings    balancerRings
+	group    *hickoryduty.Group
+
+	// draining is set once by Drain; packets and serving are written by the
+	// decide duty.
+	draining atomic.Bool
+	packets  atomic.Uint64
+	serving  atomic.Bool
+}
+
+// balancerRings join the duties of a balancer.
+type balancerRings struct {
+	fromCallers *hickoryring.FrameRing
+	fromAgents  *hickoryring.FrameRing
+	toCallers   *hickoryring.FrameRing
+	toAgents    *hickoryring.FrameRing
+	views       *hickoryring.DirectoryRing
+	answers     *hickoryring.StoreRing
+	states      *hickoryring.StateRing
+	asks        *hickoryring.AskRing
+}
+
+// BalancerOption changes a balancer at construction.
+type BalancerOption func(*Balancer)
+
+// WithBalancerRandom sets the source of random numbers.
+func WithBalancerRandom(random *rand.Rand) BalancerOption {
+	return func(b *Balancer) {
+		b.random = random
+	}
+}
+
+// NewBalancer opens the sockets of a balancer. Start runs it.
+func NewBalancer(settings hickorysettings.FabricBalancer, translation Translation, store Store, logger *hickorylog.Logger, options ...BalancerOption) (*Balancer, error) {
+	b := &Balancer{
+		settings:    settings,
+		translation: translation,
+		store:       store,
+		logger:      logger,
+		scope:       tally.NoopScope,
+		clock:       hickoryclock.New(),
+		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		calls:       hickoryrpc.NewClient(),
+		rings: balancerRings{
+			fromCallers: hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropNewest),
+			fromAgents:  hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropNewest),
+			toCallers:   hickoryring.NewFrameRing(sendCapacity, hickoryring.DropNewest),
+			toAgents:    hickoryring.NewFrameRing(sendCapacity, hickoryring.DropNewest),
+			views:       hickoryring.NewDirectoryRing(),
+			answers:     hickoryring.NewStoreRing(),
+			states:      hickoryring.NewStateRing(),
+			asks:        hickoryring.NewAskRing(),
+		},
+	}
+	for _, option := range options {
+		option(b)
+	}
+	return b, b.open()
+}
+
+func (b *Balancer) open() error {
+	var err error
+	if b.callers, err = openSocket(b.settings.DataEndpoint); err != nil {
+		return err
+	}
+	if b.agents, err = openSocket(b.settings.AgentEndpoint); err != nil {
+		return err
+	}
+	if b.control, err = hickoryrpc.Listen(b.settings.ControlEndpoint); err != nil {
+		return err
+	}
+	if err = b.control.Register(stateService, &stateReceiver{states: b.rings.states}); err != nil {
+		return err
+	}
+	if b.ready, err = listenReadiness(b.settings.ReadyEndpoint, b.translation.Readiness(b.Ready)); err != nil {
+		return err
+	}
+	b.exporter, b.scope, err = openMetrics(b.settings.MetricsEndpoint, b.settings.Instance)
+	return err
+}
+
+// Ready reports whether the fabric should send packets.
+func (b *Balancer) Ready() bool {
+	return b.serving.Load() && !b.draining.Load()
+}
+
+// Start runs the duties until Close.
+func (b *Balancer) Start(ctx context.Context) error {
+	b.group = hickoryduty.New(string(b.settings.Instance), b.logger)
+	decider := b.newDecider()
+	follower := newFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings.answers, b.scope)
+	keeper := b.newKeeper()
+	asker := &asker{client: b.calls, asks: b.rings.asks, states: b.rings.states, logger: b.logger}
+	b.group.Add("receive from callers", func(ctx context.Context) error { return b.callers.Receive(ctx, b.rings.fromCallers) })
+	b.group.Add("receive from agents", func(ctx context.Context) error { return b.agents.Receive(ctx, b.rings.fromAgents) })
+	b.group.Add("decide", decider.run)
+	b.group.Add("send to agents", func(ctx context.Context) error { return b.agents.SendAll(ctx, b.rings.toAgents) })
+	b.group.Add("send to callers", func(ctx context.Context) error { return b.callers.SendAll(ctx, b.rings.toCallers) })
+	b.group.Add("follow the store", follower.run)
+	b.group.Add("keep the directory", keeper.run)
+	b.group.Add("ask balancers", asker.run)
+	b.group.Add("control", b.control.Serve)
+	b.group.Add("readiness", b.ready.serve)
+	if b.exporter != nil {
+		b.group.Add("ring drops", b.ringDrops().Run)
+		b.group.Add("metrics", b.exporter.Serve)
+	}
+	b.group.Start(ctx)
+	return nil
+}
+
+func (b *Balancer) newDecider() *balancerDecider {
+	d := &balancerDecider{
+		clock:       b.clock,
+		translation: b.translation,
+		rings:       b.rings,
+		recorder:    newRecorder(b.scope, b.logger),
+		logger:      b.logger,
+		draining:    &b.draining,
+		packets:     &b.packets,
+		serving:     &b.serving,
+		flows:       b.scope.Gauge("flows"),
+		port:        b.callers.Endpoint().Port,
+	}
+	random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
+	d.steering = hickorysteering.NewBalancer(b.settings.Zone, b.callers.Endpoint().Port, random, d.recorder.record)
+	return d
+}
+
+func (b *Balancer) newKeeper() *keeper {
+	random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
+	return &keeper{
+		clock:     b.clock,
+		logger:    b.logger,
+		self:      b.control.Endpoint(),
+		directory: hickorydirectory.New(),
+		peers:     hickorydirectory.NewPeers(b.control.Endpoint(), b.settings.Seeds, random),
+		answers:   b.rings.answers,
+		states:    b.rings.states,
+		asks:      b.rings.asks,
+		views:     b.rings.views,
+	}
+}
+
+func (b *Balancer) ringDrops() *hickorymetric.RingDrops {
+	drops := hickorymetric.NewRingDrops(b.scope)
+	drops.Add("fromCallers", b.rings.fromCallers.Drops)
+	drops.Add("fromAgents", b.rings.fromAgents.Drops)
+	drops.Add("toAgents", b.rings.toAgents.Drops)
+	drops.Add("toCallers", b.rings.toCallers.Drops)
+	return drops
+}
+
+// Endpoint returns the socket of the fabric.
+func (b *Balancer) Endpoint() hickorymodel.Endpoint {
+	return b.callers.Endpoint()
+}
+
+// AgentEndpoint returns the socket of frames.
+func (b *Balancer) AgentEndpoint() hickorymodel.Endpoint {
+	return b.agents.Endpoint()
+}
+
+// Close ends the duties, waits for them and closes the sockets.
+func (b *Balancer) Close() error {
+	errs := closeErrors{}
+	errs.add(b.group.Close())
+	errs.add(b.store.Close())
+	errs.add(b.calls.Close())
+	if b.exporter != nil {
+		errs.add(b.exporter.Close())
+	}
+	errs.add(b.control.Close())
+	errs.add(b.ready.Close())
+	errs.add(b.callers.Close())
+	errs.add(b.agents.Close())
+	return errs.first
+}
--- /dev/null
+++ b/io/hickoryfabric/follower.go
@@ -0,0 +1,116 @@
+package hickoryfabric
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/io/hickoryring"
+)
+
+const (
+	// listTimeout bounds a listing; a store that answers 60 times as slowly as
+	// usual needs about a second for its pages.
+	listTimeout = 2 * time.Second
+	// watchWait is how long the store holds a watch without changes. A
+	// connection that has gone silent blinds a balancer for that time and
+	// watchSlack at most, which must stay below the time to apply a change.
+	watchWait  = 2500 * time.Millisecond
+	watchSlack = 700 * time.Millisecond
+	// batchPause lets changes gather between two watches, since each call costs.
+	batchPause = 200 * time.Millisecond
+	// retryBase and retryLimit bound the pause after a failed call, which
+	// doubles with each further one.
+	retryBase  = 200 * time.Millisecond
+	retryLimit = 800 * time.Millisecond
+)
+
+// follower reads the store: one listing, then watches.
+type follower struct {
+	store  Store
+	random *rand.Rand
+	ring   *hickoryring.StoreRing
+	calls  map[string]tally.Counter
+
+	// listed is true while the next call is a watch after through.
+	listed  bool
+	through hickorydirectory.Revision
+	// failures counts the failed calls since the last answer.
+	failures int
+}
+
+func newFollower(store Store, random *rand.Rand, ring *hickoryring.StoreRing, scope tally.Scope) *follower {
+	calls := map[string]tally.Counter{}
+	for _, outcome := range []string{"answered", "failed", "historyGone"} {
+		calls[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("store_calls")
+	}
+	return &follower{store: store, random: random, ring: ring, calls: calls}
+}
+
+// run follows the store until the context ends.
+func (f *follower) run(ctx context.Context) error {
+	for {
+		batch, err := f.call(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !f.ring.Put(ctx, hickoryring.StoreAnswer{Batch: batch, Err: err}) {
+			return ctx.Err()
+		}
+		if err := pause(ctx, f.next(batch, err)); err != nil {
+			return err
+		}
+	}
+}
+
+func (f *follower) call(ctx context.Context) (*hickorydirectory.Batch, error) {
+	if !f.listed {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		return f.store.List(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	return f.store.Watch(ctx, f.through, watchWait)
+}
+
+// next notes the outcome of a call and returns the pause before the next one.
+func (f *follower) next(batch *hickorydirectory.Batch, err error) time.Duration {
+	if err == nil {
+		f.calls["answered"].Inc(1)
+		f.failures = 0
+		f.listed = true
+		f.through = max(f.through, batch.Through)
+		if len(batch.Changes)+len(batch.Faults) == 0 {
+			return 0
+		}
+		return batchPause
+	}
+	if f.store.HistoryGone(err) {
+		f.calls["historyGone"].Inc(1)
+		f.listed = false
+		return 0
+	}
+	f.calls["failed"].Inc(1)
+	wait := min(retryBase<<min(f.failures, 8), retryLimit)
+	f.failures++
+	return wait/2 + time.Duration(f.random.Int64N(int64(wait)))
+}
+
+// pause waits, or returns the error of the context.
+func pause(ctx context.Context, wait time.Duration) error {
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/io/hickoryfabric/recorder.go
@@ -0,0 +1,143 @@
+package hickoryfabric
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/io/hickorylog"
+	"hickoryworks/schema/hickoryevent"
+)
+
+const (
+	// lineRate and lineBurst bound the log lines of each kind of decision, in
+	// lines a second.
+	lineRate  = 100
+	lineBurst = 200
+)
+
+// stepRejected counts bytes that are no packet or frame.
+const stepRejected hickorysteering.Step = "rejected"
+
+// stepEvents has the log event of each step.
+var stepEvents = map[hickorysteering.Step]hickoryevent.Event{
+	hickorysteering.StepOpened:         hickoryevent.FlowOpened,
+	hickorysteering.StepRetried:        hickoryevent.FlowRetried,
+	hickorysteering.StepRefused:        hickoryevent.FlowRefused,
+	hickorysteering.StepWaited:         hickoryevent.FlowWaiting,
+	hickorysteering.StepNoRoute:        hickoryevent.FlowUnrouted,
+	hickorysteering.StepSearched:       hickoryevent.FlowSearched,
+	hickorysteering.StepFound:          hickoryevent.FlowFound,
+	hickorysteering.StepNotFound:       hickoryevent.FlowNotFound,
+	hickorysteering.StepLost:           hickoryevent.FlowLost,
+	hickorysteering.StepUnknown:        hickoryevent.FlowUnknown,
+	hickorysteering.StepReturned:       hickoryevent.PacketReturned,
+	hickorysteering.StepAgentSilent:    hickoryevent.AgentSilent,
+	hickorysteering.StepAgentHeard:     hickoryevent.AgentHeard,
+	hickorysteering.StepUpstreamSilent: hickoryevent.UpstreamSilent,
+	hickorysteering.StepUpstreamHeard:  hickoryevent.UpstreamHeard,
+	hickorysteering.StepUpstreamCold:   hickoryevent.UpstreamRestarted,
+}
+
+// recorder counts and logs decisions. One goroutine uses it.
+type recorder struct {
+	scope  tally.Scope
+	logger *hickorylog.Logger
+	now    func() time.Time
+
+	counters map[counterKey]tally.Counter
+	limiters map[hickoryevent.Event]*lineLimiter
+}
+
+type counterKey struct {
+	step   hickorysteering.Step
+	reason hickorysteering.Reason
+}
+
+// lineLimiter bounds the lines of one event.
+type lineLimiter struct {
+	limiter *rate.Limiter
+	// suppressed counts the lines left out since the last one.
+	suppressed int
+}
+
+func newRecorder(scope tally.Scope, logger *hickorylog.Logger) *recorder {
+	return &recorder{
+		scope:    scope,
+		logger:   logger,
+		now:      time.Now,
+		counters: map[counterKey]tally.Counter{},
+		limiters: map[hickoryevent.Event]*lineLimiter{},
+	}
+}
+
+// record takes one decision.
+func (r *recorder) record(d *hickorysteering.Decision) {
+	r.count(d.Step, d.Reason)
+	r.log(stepEvents[d.Step], func() hickorylog.Fields { return decisionFields(d) })
+}
+
+func (r *recorder) count(step hickorysteering.Step, reason hickorysteering.Reason) {
+	key := counterKey{step: step, reason: reason}
+	counter, ok := r.counters[key]
+	if !ok {
+		counter = r.scope.Tagged(map[string]string{"step": string(step), "reason": reason.String()}).Counter("decisions")
+		r.counters[key] = counter
+	}
+	counter.Inc(1)
+}
+
+// log writes a line unless too many of its event were written.
+func (r *recorder) log(event hickoryevent.Event, fields func() hickorylog.Fields) {
+	l, ok := r.limiters[event]
+	if !ok {
+		l = &lineLimiter{limiter: rate.NewLimiter(lineRate, lineBurst)}
+		r.limiters[event] = l
+	}
+	if !l.limiter.AllowN(r.now(), 1) {
+		l.suppressed++
+		return
+	}
+	if l.suppressed > 0 {
+		r.logger.Log(hickoryevent.LinesSuppressed, hickorylog.Fields{"of": event.Name, "count": l.suppressed})
+		l.suppressed = 0
+	}
+	r.logger.Log(event, fields())
+}
+
+func decisionFields(d *hickorysteering.Decision) hickorylog.Fields {
+	fields := hickorylog.Fields{}
+	if d.Flow.Source.Port != 0 {
+		fields["flow"] = d.Flow.Source.String() + ">" + d.Flow.Destination.String()
+		fields["copy"] = d.Copy
+	}
+	if !d.Peer.IsZero() {
+		fields["peer"] = d.Peer.String()
+	}
+	if d.Upstream != "" {
+		fields["upstream"] = string(d.Upstream)
+		fields["revision"] = d.Revision
+		fields["load"] = d.Load
+	}
+	if d.Reason != hickorysteering.ReasonNone {
+		fields["reason"] = d.Reason.String()
+	}
+	if d.Version != 0 {
+		fields["version"] = d.Version
+	}
+	if d.Count != 0 {
+		fields["count"] = d.Count
+	}
+	return fields
+}
+
+// reject counts and logs bytes that can't be read.
+func (r *recorder) reject(peer hickorymodel.Endpoint, err error) {
+	r.count(stepRejected, hickorysteering.ReasonNone)
+	r.log(hickoryevent.PacketRejected, func() hickorylog.Fields {
+		return hickorylog.Fields{"peer": peer.String(), "error": err.Error()}
+	})
+}
--- a/io/hickoryprogram/daemon.go
+++ b/io/hickoryprogram/daemon.go
@@ -25,6 +25,8 @@
 	// own time.
 	Drain func(context.Context) error
 	Close func() error
+	// Reload takes changed settings. Without it, SIGHUP has its default effect.
+	Reload func()
 }
 
 // Run starts a daemon and waits for a signal. The first signal starts a
@@ -37,10 +39,7 @@
 		return errors.Wrap(err, "start")
 	}
 	logger.Log(hickoryevent.ProgramStarted, nil)
-	select {
-	case <-signals:
-	case <-ctx.Done():
-	}
+	awaitStop(ctx, daemon, signals)
 	logger.Log(hickoryevent.ProgramStopping, nil)
 	hurry, drainErr := drain(ctx, daemon, signals)
 	closeErr := closeDaemon(daemon, hurry, signals)
@@ -51,6 +50,25 @@
 	return closeErr
 }
 
+// awaitStop waits for the first signal that stops the daemon, and reloads its
+// settings on SIGHUP.
+func awaitStop(ctx context.Context, daemon Daemon, signals <-chan os.Signal) {
+	reloads := make(chan os.Signal, 1)
+	if daemon.Reload != nil {
+		signal.Notify(reloads, syscall.SIGHUP)
+	}
+	for {
+		select {
+		case <-signals:
+			return
+		case <-ctx.Done():
+			return
+		case <-reloads:
+			daemon.Reload()
+		}
+	}
+}
+
 // drain reports whether a second signal ended the drain.
 func drain(ctx context.Context, daemon Daemon, signals <-chan os.Signal) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -22,6 +22,7 @@
 request hickorymessage
 member hickorymessage
 transfer hickorymessage
+discovery hickorymessage
 platform hickoryplatform
 payload hickorypayload
 demo hickorydemoreport
--- a/schema/hickoryevent/event_generated.go
+++ b/schema/hickoryevent/event_generated.go
@@ -85,4 +85,60 @@
 	PredecessorEnded = Event{Number: 1425, Name: "PredecessorEnded", Level: "info", Text: "predecessor has ended"}
 	// FlowsNotImported: The flow table had no room for all transferred flows.
 	FlowsNotImported = Event{Number: 1426, Name: "FlowsNotImported", Level: "error", Text: "transferred flows left out"}
+	// FlowOpened: The first packet of a flow arrived; the fields name the upstream, its load and the age of what is known.
+	FlowOpened = Event{Number: 1501, Name: "FlowOpened", Level: "info", Text: "new flow sent to an upstream"}
+	// FlowRetried: The upstream before it refused the flow or left the first packet unanswered.
+	FlowRetried = Event{Number: 1502, Name: "FlowRetried", Level: "info", Text: "first packet sent to another upstream"}
+	// FlowRefused: No upstream took the first packet or its copies.
+	FlowRefused = Event{Number: 1503, Name: "FlowRefused", Level: "warn", Text: "flow refused with a reset"}
+	// FlowWaiting: No upstream takes the flow now.
+	FlowWaiting = Event{Number: 1504, Name: "FlowWaiting", Level: "info", Text: "first packet dropped; its next copy may be taken"}
+	// FlowUnrouted: The configuration in force has no route for the flow's address.
+	FlowUnrouted = Event{Number: 1505, Name: "FlowUnrouted", Level: "warn", Text: "address without a route"}
+	// FlowSearched: A packet of an open flow arrived at a balancer that does not know the flow.
+	FlowSearched = Event{Number: 1506, Name: "FlowSearched", Level: "info", Text: "owner of a flow searched for"}
+	// FlowFound: An agent reports that its upstream holds the flow.
+	FlowFound = Event{Number: 1507, Name: "FlowFound", Level: "info", Text: "owner of a flow found"}
+	// FlowNotFound: All agents that may hold the flow have returned its packet.
+	FlowNotFound = Event{Number: 1508, Name: "FlowNotFound", Level: "warn", Text: "no upstream holds the flow"}
+	// FlowLost: The upstream returned a packet of a flow that it held.
+	FlowLost = Event{Number: 1509, Name: "FlowLost", Level: "warn", Text: "open flow reset; its upstream holds it no more"}
+	// FlowUnknown: No agent is known that may hold the flow, or too many searches run.
+	FlowUnknown = Event{Number: 1510, Name: "FlowUnknown", Level: "warn", Text: "packet dropped; nothing is known of its flow"}
+	// PacketReturned: The upstream does not hold the flow, or may not take a new one.
+	PacketReturned = Event{Number: 1511, Name: "PacketReturned", Level: "info", Text: "packet returned to its balancer"}
+	// RequestDelivered: A packet that begins a request went to the upstream.
+	RequestDelivered = Event{Number: 1512, Name: "RequestDelivered", Level: "info", Text: "request delivered to the upstream"}
+	// PacketRejected: Bytes that are no packet of the fabric, or a frame of another version.
+	PacketRejected = Event{Number: 1513, Name: "PacketRejected", Level: "warn", Text: "packet or frame rejected"}
+	// AgentSilent: Packets were sent to the agent and no frame of it has arrived for the time given in docs/platform.md.
+	AgentSilent = Event{Number: 1520, Name: "AgentSilent", Level: "warn", Text: "agent does not answer"}
+	// AgentHeard: A frame of the agent arrived.
+	AgentHeard = Event{Number: 1521, Name: "AgentHeard", Level: "info", Text: "silent agent is heard again"}
+	// UpstreamSilent: Several first packets in a row had no answer.
+	UpstreamSilent = Event{Number: 1522, Name: "UpstreamSilent", Level: "warn", Text: "upstream does not answer first packets"}
+	// UpstreamHeard: The upstream sent a packet.
+	UpstreamHeard = Event{Number: 1523, Name: "UpstreamHeard", Level: "info", Text: "upstream answers again"}
+	// UpstreamRestarted: The upstream returned a packet of a flow that it used a moment ago.
+	UpstreamRestarted = Event{Number: 1524, Name: "UpstreamRestarted", Level: "warn", Text: "upstream has lost open flows; new flows are limited as in a cold start"}
+	// StoreLost: A call of the store failed; what is known stays in force, and other balancers are asked.
+	StoreLost = Event{Number: 1530, Name: "StoreLost", Level: "warn", Text: "store does not answer"}
+	// StoreRegained: A call of the store succeeded after a failed one.
+	StoreRegained = Event{Number: 1531, Name: "StoreRegained", Level: "info", Text: "store answers again"}
+	// StoreValueRejected: A value can't be read; an entry of an upstream is then not used, and the last configuration stays in force.
+	StoreValueRejected = Event{Number: 1532, Name: "StoreValueRejected", Level: "error", Text: "published value rejected"}
+	// DirectoryChanged: The store or another balancer told something new.
+	DirectoryChanged = Event{Number: 1533, Name: "DirectoryChanged", Level: "info", Text: "published state changed"}
+	// PeerUnanswered: A call of another balancer failed; the next call goes to another one.
+	PeerUnanswered = Event{Number: 1534, Name: "PeerUnanswered", Level: "info", Text: "balancer does not answer"}
+	// BecameReady: The configuration and the upstreams are known and agents answer.
+	BecameReady = Event{Number: 1540, Name: "BecameReady", Level: "info", Text: "ready for packets"}
+	// BecameUnready: The state is not known yet, no agent answers, or the process stops.
+	BecameUnready = Event{Number: 1541, Name: "BecameUnready", Level: "warn", Text: "not ready for packets"}
+	// SettingsReloaded: The process received SIGHUP or the file has changed.
+	SettingsReloaded = Event{Number: 1542, Name: "SettingsReloaded", Level: "info", Text: "settings read again"}
+	// SettingsRejected: The settings file can't be read or is invalid; the settings in force stay.
+	SettingsRejected = Event{Number: 1543, Name: "SettingsRejected", Level: "error", Text: "changed settings rejected"}
+	// LinesSuppressed: More decisions of one kind were made than are logged; the counters have them all.
+	LinesSuppressed = Event{Number: 1544, Name: "LinesSuppressed", Level: "warn", Text: "log lines left out"}
 )
--- a/schema/hickoryid/duration.go
+++ b/schema/hickoryid/duration.go
@@ -11,3 +11,9 @@
 	}
 	return value
 }
+
+// NewDuration rounds a time to milliseconds, the smallest unit of our formats.
+// Negative times become 0.
+func NewDuration(value time.Duration) Duration {
+	return Duration(max(value, 0).Round(time.Millisecond).String())
+}
--- a/schema/hickorysettings/settings_generated.go
+++ b/schema/hickorysettings/settings_generated.go
@@ -220,6 +220,245 @@
 	return nil
 }
 
+type Fabric string
+
+// FabricAgent holds the settings of hickory-agent on a datagram fabric.
+type FabricAgent struct {
+	// AgentPort is the UDP port on which balancers receive datagrams from agents.
+	AgentPort int `json:"agentPort" yaml:"agentPort"`
+
+	// DataEndpoint is the UDP socket that receives packets from balancers. Callers
+	// use the same port.
+	DataEndpoint hickoryid.Endpoint `json:"dataEndpoint" yaml:"dataEndpoint"`
+
+	// DrainTimeout bounds a graceful stop.
+	DrainTimeout hickoryid.Duration `json:"drainTimeout,omitempty,omitzero" yaml:"drainTimeout,omitempty"`
+
+	// Fabric corresponds to the JSON schema field "fabric".
+	Fabric Fabric `json:"fabric" yaml:"fabric"`
+
+	// Instance corresponds to the JSON schema field "instance".
+	Instance hickoryid.InstanceID `json:"instance" yaml:"instance"`
+
+	// MetricsEndpoint is the TCP socket of the Prometheus page; without it none is
+	// served.
+	MetricsEndpoint *hickoryid.Endpoint `json:"metricsEndpoint,omitempty,omitzero" yaml:"metricsEndpoint,omitempty"`
+
+	// ReadyEndpoint is the TCP socket on which the fabric asks whether the process
+	// runs.
+	ReadyEndpoint hickoryid.Endpoint `json:"readyEndpoint" yaml:"readyEndpoint"`
+
+	// ReturnEndpoint is the UDP socket to which the upstream sends its packets.
+	ReturnEndpoint hickoryid.Endpoint `json:"returnEndpoint" yaml:"returnEndpoint"`
+
+	// Seeds are control sockets of some balancers, which may be out of date.
+	Seeds []hickoryid.Endpoint `json:"seeds" yaml:"seeds"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service hickoryid.ServiceName `json:"service" yaml:"service"`
+
+	// UpstreamEndpoint is the UDP socket of the upstream.
+	UpstreamEndpoint hickoryid.Endpoint `json:"upstreamEndpoint" yaml:"upstreamEndpoint"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone hickoryid.ZoneName `json:"zone" yaml:"zone"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *FabricAgent) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["agentPort"]; raw != nil && !ok {
+		return fmt.Errorf("field agentPort in FabricAgent: required")
+	}
+	if _, ok := raw["dataEndpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field dataEndpoint in FabricAgent: required")
+	}
+	if _, ok := raw["fabric"]; raw != nil && !ok {
+		return fmt.Errorf("field fabric in FabricAgent: required")
+	}
+	if _, ok := raw["instance"]; raw != nil && !ok {
+		return fmt.Errorf("field instance in FabricAgent: required")
+	}
+	if _, ok := raw["readyEndpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field readyEndpoint in FabricAgent: required")
+	}
+	if _, ok := raw["returnEndpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field returnEndpoint in FabricAgent: required")
+	}
+	if _, ok := raw["seeds"]; raw != nil && !ok {
+		return fmt.Errorf("field seeds in FabricAgent: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in FabricAgent: required")
+	}
+	if _, ok := raw["upstreamEndpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field upstreamEndpoint in FabricAgent: required")
+	}
+	if _, ok := raw["zone"]; raw != nil && !ok {
+		return fmt.Errorf("field zone in FabricAgent: required")
+	}
+	type Plain FabricAgent
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 65535 < plain.AgentPort {
+		return fmt.Errorf("field %s: must be <= %v", "agentPort", 65535)
+	}
+	if 1 > plain.AgentPort {
+		return fmt.Errorf("field %s: must be >= %v", "agentPort", 1)
+	}
+	if v, ok := raw["drainTimeout"]; !ok || v == nil {
+		plain.DrainTimeout = "1s"
+	}
+	if len(plain.Seeds) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "seeds", 64)
+	}
+	*j = FabricAgent(plain)
+	return nil
+}
+
+// FabricBalancer holds the settings of hickory-balancer on a datagram fabric.
+type FabricBalancer struct {
+	// AgentEndpoint is the UDP socket for datagrams to and from agents.
+	AgentEndpoint hickoryid.Endpoint `json:"agentEndpoint" yaml:"agentEndpoint"`
+
+	// ControlEndpoint is the TCP socket on which other balancers ask for state.
+	ControlEndpoint hickoryid.Endpoint `json:"controlEndpoint" yaml:"controlEndpoint"`
+
+	// DataEndpoint is the UDP socket that receives packets from the fabric. Callers
+	// and agents use the same port.
+	DataEndpoint hickoryid.Endpoint `json:"dataEndpoint" yaml:"dataEndpoint"`
+
+	// DrainTimeout bounds a graceful stop.
+	DrainTimeout hickoryid.Duration `json:"drainTimeout,omitempty,omitzero" yaml:"drainTimeout,omitempty"`
+
+	// Fabric corresponds to the JSON schema field "fabric".
+	Fabric Fabric `json:"fabric" yaml:"fabric"`
+
+	// Instance corresponds to the JSON schema field "instance".
+	Instance hickoryid.InstanceID `json:"instance" yaml:"instance"`
+
+	// MetricsEndpoint is the TCP socket of the Prometheus page; without it none is
+	// served.
+	MetricsEndpoint *hickoryid.Endpoint `json:"metricsEndpoint,omitempty,omitzero" yaml:"metricsEndpoint,omitempty"`
+
+	// ReadyEndpoint is the TCP socket on which the fabric asks whether to send
+	// packets.
+	ReadyEndpoint hickoryid.Endpoint `json:"readyEndpoint" yaml:"readyEndpoint"`
+
+	// Seeds are control sockets of some balancers, which may be out of date.
+	Seeds []hickoryid.Endpoint `json:"seeds" yaml:"seeds"`
+
+	// Store corresponds to the JSON schema field "store".
+	Store FabricStore `json:"store" yaml:"store"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone hickoryid.ZoneName `json:"zone" yaml:"zone"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *FabricBalancer) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["agentEndpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field agentEndpoint in FabricBalancer: required")
+	}
+	if _, ok := raw["controlEndpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field controlEndpoint in FabricBalancer: required")
+	}
+	if _, ok := raw["dataEndpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field dataEndpoint in FabricBalancer: required")
+	}
+	if _, ok := raw["fabric"]; raw != nil && !ok {
+		return fmt.Errorf("field fabric in FabricBalancer: required")
+	}
+	if _, ok := raw["instance"]; raw != nil && !ok {
+		return fmt.Errorf("field instance in FabricBalancer: required")
+	}
+	if _, ok := raw["readyEndpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field readyEndpoint in FabricBalancer: required")
+	}
+	if _, ok := raw["seeds"]; raw != nil && !ok {
+		return fmt.Errorf("field seeds in FabricBalancer: required")
+	}
+	if _, ok := raw["store"]; raw != nil && !ok {
+		return fmt.Errorf("field store in FabricBalancer: required")
+	}
+	if _, ok := raw["zone"]; raw != nil && !ok {
+		return fmt.Errorf("field zone in FabricBalancer: required")
+	}
+	type Plain FabricBalancer
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["drainTimeout"]; !ok || v == nil {
+		plain.DrainTimeout = "4s"
+	}
+	if len(plain.Seeds) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "seeds", 64)
+	}
+	*j = FabricBalancer(plain)
+	return nil
+}
+
+const FabricDatagram Fabric = "datagram"
+
+// FabricStore gives the address of the store of a datagram fabric, which can only
+// be read.
+type FabricStore struct {
+	// Endpoint corresponds to the JSON schema field "endpoint".
+	Endpoint hickoryid.Endpoint `json:"endpoint" yaml:"endpoint"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *FabricStore) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["endpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field endpoint in FabricStore: required")
+	}
+	type Plain FabricStore
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = FabricStore(plain)
+	return nil
+}
+
+var enumValues_Fabric = []interface{}{
+	"datagram",
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Fabric) UnmarshalJSON(value []byte) error {
+	var v string
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	var ok bool
+	for _, expected := range enumValues_Fabric {
+		if reflect.DeepEqual(v, expected) {
+			ok = true
+			break
+		}
+	}
+	if !ok {
+		return fmt.Errorf("invalid value (expected one of %#v): %#v", enumValues_Fabric, v)
+	}
+	*j = Fabric(v)
+	return nil
+}
+
 // Platform gives the addresses of the platform's services.
 type Platform struct {
 	// ConfigurationURL corresponds to the JSON schema field "configurationURL".
--- a/tools/generate/main.go
+++ b/tools/generate/main.go
@@ -1,6 +1,6 @@
 // Command generate writes Go code and documentation from the schema files that
-// JSON Schema cannot express: the binary layout of the Geneve option and the
-// catalogue of log events.
+// JSON Schema cannot express: the binary layouts of the Geneve option and of the frames
+// of a datagram fabric, and the catalogue of log events.
 package main
 
 import (
@@ -31,6 +31,9 @@
 	if err := generateLayouts("schema/option.json", "schema/hickoryoption/option_generated.go"); err != nil {
 		return err
 	}
+	if err := generateLayouts("schema/frame.json", "schema/hickoryframe/frame_generated.go"); err != nil {
+		return err
+	}
 	if err := generateSources("schema/*.schema.json", "schema/hickoryschema/schema_generated.go"); err != nil {
 		return err
 	}
