Serve at once after everything was killed, and test the decisions

Agents limited each upstream to 3 new flows a second, because entries name a cold start and the published rate is 0; 0 means that no rate is stated. Balancers dropped the packets that waited in the socket while they read the store. Callers with flows that no upstream held any more waited for their deadlines.

Change: a rate of 0 limits nothing. Packets wait in their ring until the state is known. A search that every agent has answered ends in a reset, if all agents have reported lately, so that no unheard one can hold the flow. The property test of the directory found that an older entry of another balancer revived an upstream whose removal was known; removals are now remembered, and entries older than a complete listing count as removed.

--- a/core/hickorydirectory/apply.go
+++ b/core/hickorydirectory/apply.go
@@ -12,13 +12,21 @@
 		d.storeLost = false
 		d.storeBackAt = now
 	}
+	return d.apply(now, batch)
+}
+
+// apply takes changes, whoever tells them.
+func (d *Directory) apply(now hickorymodel.Instant, batch *Batch) bool {
 	before := d.serial
 	for i := range batch.Changes {
 		d.applyChange(now, &batch.Changes[i])
 	}
 	if batch.Complete {
 		d.removeUnnamed(now, batch)
-		d.listed = true
+		if !d.listed {
+			d.listed = true
+			d.serial++
+		}
 	}
 	d.through = max(d.through, batch.Through)
 	return d.serial != before
@@ -57,6 +65,9 @@
 	}
 	d.dropPredecessor(entry.ID, endpoint)
 	next := &upstreamRecord{listed: *entry, revision: Revision(entry.Revision), endpoint: endpoint}
+	if !known && Revision(entry.Revision) <= d.through {
+		next.removedAt = now // the changes up to through have removed it
+	}
 	if left := entry.ColdTime.Value(); left > 0 {
 		next.coldUntil = now.Add(left)
 	}
@@ -75,7 +86,12 @@
 
 func (d *Directory) remove(now hickorymodel.Instant, id hickoryid.UpstreamID, revision Revision) {
 	record, known := d.upstreams[id]
-	if !known || revision <= record.revision {
+	if !known {
+		// An older entry may still arrive from another balancer.
+		d.upstreams[id] = &upstreamRecord{revision: revision, removedAt: now}
+		return
+	}
+	if revision <= record.revision {
 		return
 	}
 	record.revision = revision
@@ -100,6 +116,9 @@
 	if known && mark.Revision <= record.mark.Revision {
 		return
 	}
+	if !known && mark.Excluded && Revision(mark.Revision) <= d.through {
+		return // the changes up to through have ended it
+	}
 	next := &zoneRecord{mark: *mark}
 	if known {
 		next.returnedAt = record.returnedAt
--- /dev/null
+++ b/core/hickorydirectory/directory_test.go
@@ -0,0 +1,213 @@
+package hickorydirectory_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/schema/hickoryid"
+	"hickoryworks/schema/hickorymessage"
+)
+
+// start is the time of the first event of each test.
+const start = hickorymodel.Instant(time.Hour)
+
+func table(version int) hickorydirectory.Change {
+	return hickorydirectory.Change{Table: &hickorymessage.RouteTable{
+		Version: version, IdleTimeout: "15s",
+		Routes: []hickorymessage.Route{{
+			Name: "live", Address: "198.51.100.1:443",
+			Targets: []hickorymessage.RouteTarget{{Service: "clubroom", Weight: 1}, {Service: "packetdesk", Weight: 0}},
+		}},
+		Services: []hickorymessage.RoutedService{{Name: "clubroom", RampTime: "2s", RampRate: 3}},
+	}}
+}
+
+// upstream returns an entry; each id has an endpoint of its own.
+func upstream(id int, revision int, leaving bool, cold hickoryid.Duration) hickorydirectory.Change {
+	return hickorydirectory.Change{Upstream: &hickorymessage.ListedUpstream{
+		ID: hickoryid.UpstreamID(fmt.Sprintf("u-%d", id)), Revision: revision, Service: "clubroom", Zone: "a",
+		Endpoint: hickoryid.Endpoint(fmt.Sprintf("10.0.0.%d:8000", id)), Slots: 2, Leaving: leaving, ColdTime: cold,
+	}}
+}
+
+func removed(id int, revision int) hickorydirectory.Change {
+	return hickorydirectory.Change{Removed: &hickorymessage.RemovedUpstream{
+		ID: hickoryid.UpstreamID(fmt.Sprintf("u-%d", id)), Revision: revision,
+	}}
+}
+
+func zone(revision int, excluded bool) hickorydirectory.Change {
+	return hickorydirectory.Change{Zone: &hickorymessage.ZoneMark{Zone: "a", Revision: revision, Excluded: excluded}}
+}
+
+func listing(through hickorydirectory.Revision, changes ...hickorydirectory.Change) *hickorydirectory.Batch {
+	return &hickorydirectory.Batch{Through: through, Complete: true, Changes: changes}
+}
+
+func changes(through hickorydirectory.Revision, changes ...hickorydirectory.Change) *hickorydirectory.Batch {
+	return &hickorydirectory.Batch{Through: through, Changes: changes}
+}
+
+// accepting returns the upstreams of a view that take new flows.
+func accepting(view *hickorydirectory.View) []hickoryid.UpstreamID {
+	ids := []hickoryid.UpstreamID{}
+	for _, u := range view.Upstreams {
+		if u.Accepting {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
+type ids = []hickoryid.UpstreamID
+
+// TestVersionsNeverGoBack guards P10 against answers that arrive late and
+// against balancers that are behind.
+func TestVersionsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	d := hickorydirectory.New()
+	is.True(d.Apply(start, listing(9, table(7))))
+	is.True(!d.Apply(start, changes(10, table(6))))
+	d.Merge(start, &hickorymessage.DirectoryState{Table: table(5).Table})
+	is.Equal(d.Version(), 7)
+	is.True(d.Apply(start, changes(11, table(8))))
+	is.Equal(d.View(start).Version, 8)
+}
+
+// TestRoutesOfView guards against new flows at a target of weight 0.
+func TestRoutesOfView(t *testing.T) {
+	is := is.New(t)
+	d := hickorydirectory.New()
+	d.Apply(start, listing(9, table(7)))
+	for _, route := range d.View(start).Routes {
+		is.Equal(route.Targets, []hickorydirectory.Target{{Service: hickorydirectory.HashService("clubroom"), Weight: 1}})
+		is.Equal(route.WeightSum, 1)
+	}
+}
+
+// TestUpstreamStates guards P8: who takes new flows after each kind of change.
+func TestUpstreamStates(t *testing.T) {
+	cases := []struct {
+		name    string
+		batches []*hickorydirectory.Batch
+		want    ids
+	}{
+		{"listed", []*hickorydirectory.Batch{listing(5, upstream(1, 3, false, "0s"))}, ids{"u-1"}},
+		{"leaving", []*hickorydirectory.Batch{listing(5, upstream(1, 3, false, "0s")), changes(6, upstream(1, 6, true, "0s"))}, ids{}},
+		{"older answer arrives late", []*hickorydirectory.Batch{changes(6, upstream(1, 6, true, "0s")), changes(5, upstream(1, 3, false, "0s"))}, ids{}},
+		{"removed", []*hickorydirectory.Batch{listing(5, upstream(1, 3, false, "0s")), changes(6, removed(1, 6))}, ids{}},
+		{"late removal of an older entry", []*hickorydirectory.Batch{listing(9, upstream(1, 9, false, "0s")), changes(9, removed(1, 6))}, ids{"u-1"}},
+		{"not named by a listing", []*hickorydirectory.Batch{listing(5, upstream(1, 3, false, "0s")), listing(7)}, ids{}},
+		{"newer than a listing", []*hickorydirectory.Batch{changes(9, upstream(1, 9, false, "0s")), listing(7)}, ids{"u-1"}},
+		{"reborn", []*hickorydirectory.Batch{listing(5, upstream(1, 3, false, "0s")), changes(7, removed(1, 6), upstream(1, 7, false, "1s"))}, ids{"u-1"}},
+		{"zone out of service", []*hickorydirectory.Batch{listing(5, upstream(1, 3, false, "0s")), changes(6, zone(6, true))}, ids{}},
+		{"zone back by a change", []*hickorydirectory.Batch{listing(6, upstream(1, 3, false, "0s"), zone(6, true)), changes(7, zone(7, false))}, ids{"u-1"}},
+		{"zone back by a listing", []*hickorydirectory.Batch{listing(6, upstream(1, 3, false, "0s"), zone(6, true)), listing(8, upstream(1, 3, false, "0s"))}, ids{"u-1"}},
+		{"older entry after a listing without it", []*hickorydirectory.Batch{listing(9), changes(9, upstream(1, 3, false, "0s"))}, ids{}},
+		{"older entry after its removal", []*hickorydirectory.Batch{changes(6, removed(1, 6)), changes(6, upstream(1, 3, false, "0s"))}, ids{}},
+		{"older zone mark after a listing without it", []*hickorydirectory.Batch{listing(9, upstream(1, 3, false, "0s")), changes(9, zone(6, true))}, ids{"u-1"}},
+		{"zone mark arrives late", []*hickorydirectory.Batch{listing(6, upstream(1, 3, false, "0s")), changes(8, zone(8, true)), changes(8, zone(7, false))}, ids{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := hickorydirectory.New()
+			for _, batch := range c.batches {
+				d.Apply(start, batch)
+			}
+			is.Equal(accepting(d.View(start)), c.want)
+		})
+	}
+}
+
+// TestLapsedEntries guards against a service that loses all upstreams at once
+// when the store returns without their entries, and against entries that stay
+// for good.
+func TestLapsedEntries(t *testing.T) {
+	is := is.New(t)
+	d := hickorydirectory.New()
+	d.Apply(start, listing(5, upstream(1, 3, false, "0s"), upstream(2, 4, true, "0s")))
+	d.StoreFailed()
+	back := start.Add(5 * time.Second)
+	d.Apply(back, changes(9, removed(1, 8), removed(2, 9)))
+	is.Equal(accepting(d.View(back)), ids{"u-1"}) // u-2 was leaving
+	is.True(!d.Tick(back.Add(2400 * time.Millisecond)))
+	is.True(d.Tick(back.Add(2500 * time.Millisecond)))
+	is.Equal(accepting(d.View(back.Add(2500*time.Millisecond))), ids{})
+	is.Equal(len(d.View(back).Upstreams), 2) // open flows still end there
+	d.Tick(back.Add(76 * time.Second))
+	is.Equal(len(d.View(back).Upstreams), 0)
+}
+
+// TestZoneReturnsCold guards P3: the upstreams of a zone may be cold when it
+// returns, before their entries say so.
+func TestZoneReturnsCold(t *testing.T) {
+	is := is.New(t)
+	d := hickorydirectory.New()
+	d.Apply(start, listing(6, table(1), upstream(1, 3, false, "0s"), zone(6, true)))
+	d.Apply(start, changes(7, zone(7, false)))
+	is.Equal(d.View(start).Upstreams[0].ColdUntil, start.Add(3*time.Second))
+	d.Apply(start, changes(8, upstream(1, 8, false, "0s"))) // the entry knows better
+	is.Equal(d.View(start).Upstreams[0].ColdUntil, hickorymodel.Instant(0))
+}
+
+// TestMergeOfWholeState guards against a balancer that the store turns away and
+// that learns nothing from others.
+func TestMergeOfWholeState(t *testing.T) {
+	is := is.New(t)
+	known, fresh := hickorydirectory.New(), hickorydirectory.New()
+	is.True(known.Export(start) == nil) // half a state must not be taken for a whole one
+	known.Apply(start, listing(9, table(3), upstream(1, 3, false, "1.5s"), upstream(2, 4, false, "0s"), zone(6, true)))
+	known.Apply(start, changes(10, removed(2, 10)))
+	later := start.Add(time.Second)
+	is.True(fresh.Merge(later, known.Export(later)))
+	is.True(fresh.Known())
+	is.Equal(fresh.Digest(), known.Digest())
+	is.Equal(fresh.View(later).Upstreams[0].ColdUntil, later.Add(500*time.Millisecond))
+	is.Equal(accepting(fresh.View(later)), ids{}) // the zone is out of service
+	is.True(!fresh.Merge(later, known.Export(later)))
+}
+
+// TestOrderDoesNotMatter guards against two balancers that believe different
+// things after the same changes.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := []hickorydirectory.Change{}
+		for revision := 1; revision <= 12; revision++ {
+			id := rapid.IntRange(1, 3).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				all = append(all, upstream(id, revision, rapid.Bool().Draw(t, "leaving"), "0s"))
+			case 1:
+				all = append(all, removed(id, revision))
+			case 2:
+				all = append(all, zone(revision, rapid.Bool().Draw(t, "excluded")))
+			default:
+				all = append(all, table(revision))
+			}
+		}
+		want := replay(all)
+		shuffled := append([]hickorydirectory.Change(nil), all...)
+		source := rand.New(rand.NewPCG(uint64(rapid.IntRange(0, 1<<30).Draw(t, "seed")), 1))
+		source.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		if got := replay(shuffled); got != want {
+			t.Fatalf("in order: %s, shuffled: %s", want, got)
+		}
+	})
+}
+
+// replay applies changes one by one and describes what takes new flows.
+func replay(all []hickorydirectory.Change) string {
+	d := hickorydirectory.New()
+	for _, change := range all {
+		d.Apply(start, changes(0, change))
+	}
+	return fmt.Sprint(d.Version(), accepting(d.View(start)))
+}
--- a/core/hickorydirectory/exchange.go
+++ b/core/hickorydirectory/exchange.go
@@ -60,19 +60,18 @@
 
 // Merge takes the state of another balancer and reports whether the view has changed.
 func (d *Directory) Merge(now hickorymodel.Instant, state *hickorymessage.DirectoryState) bool {
-	before, known := d.serial, d.Known()
+	batch := &Batch{Through: Revision(state.Revision), Complete: true}
 	if state.Table != nil {
-		d.setTable(state.Table)
+		batch.Changes = append(batch.Changes, Change{Table: state.Table})
 	}
 	for i := range state.Upstreams {
-		d.setUpstream(now, &state.Upstreams[i])
+		batch.Changes = append(batch.Changes, Change{Upstream: &state.Upstreams[i]})
 	}
-	for _, removed := range state.Removed {
-		d.remove(now, removed.ID, Revision(removed.Revision))
+	for i := range state.Removed {
+		batch.Changes = append(batch.Changes, Change{Removed: &state.Removed[i]})
 	}
 	for i := range state.Zones {
-		d.setZone(now, &state.Zones[i])
+		batch.Changes = append(batch.Changes, Change{Zone: &state.Zones[i]})
 	}
-	d.listed = true
-	return d.serial != before || d.Known() != known
+	return d.apply(now, batch)
 }
--- a/core/hickorydirectory/record.go
+++ b/core/hickorydirectory/record.go
@@ -11,6 +11,7 @@
 	// flows still end there.
 	listed   hickorymessage.ListedUpstream
 	revision Revision
+	// endpoint is zero when only the removal of the entry is known.
 	endpoint hickorymodel.Endpoint
 	// coldUntil is when the cold start of the last entry ends; 0 if it is warm.
 	coldUntil hickorymodel.Instant
--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -82,6 +82,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		record := d.upstreams[id]
+		if record.endpoint.IsZero() {
+			continue
+		}
 		view.Upstreams = append(view.Upstreams, d.upstream(now, record, services[record.listed.Service]))
 	}
 	return view
--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -165,18 +165,13 @@
 // deliver hands a packet of an open flow to the upstream, which returns it when
 // it does not hold the flow.
 func (a *Agent) deliver(now hickorymodel.Instant, from hickorymodel.Endpoint, p *Packet) {
-	if f, ok := a.flows[p.Flow]; ok {
+	if f := a.flow(now, p.Flow); f != nil {
 		f.balancer = from
-		f.seenAt = now
 		f.callerEnded = f.callerEnded || p.Finish || p.Reset
-		if p.Data > 0 {
-			if !f.busy {
-				f.askedAt = now
-			}
+		if p.Data > 0 && !f.busy {
+			f.askedAt = now
 			a.setBusy(f, true)
 		}
-	} else if f := a.flow(now, p.Flow); f != nil {
-		f.balancer = from
 	}
 	a.hand(from, p)
 }
--- a/core/hickorysteering/agent_gate.go
+++ b/core/hickorysteering/agent_gate.go
@@ -15,7 +15,7 @@
 	// the agent to the upstream.
 	gateWindow = 1050 * time.Millisecond
 	// minColdFlows is the number of new flows that an upstream gets in each
-	// window of a cold start, however low its rate is.
+	// window of a cold start, if its rate is lower.
 	minColdFlows = 3
 	// silenceTime is how long an upstream may leave first packets unanswered
 	// before it gets no more; a warm one answers within a millisecond.
@@ -36,7 +36,7 @@
 	// coldUntil is when the cold start ends; 0 for a warm upstream.
 	coldUntil hickorymodel.Instant
 	rampTime  time.Duration
-	// rampRate is in new flows a second.
+	// rampRate is in new flows a second; 0 stands for no limit.
 	rampRate float64
 	// openings holds the times of the first packets delivered in the last window.
 	openings []hickorymodel.Instant
@@ -66,7 +66,7 @@
 	if g.silent && g.probeAt != 0 && now.Sub(g.probeAt) < probeInterval {
 		return ReasonSilent, false
 	}
-	if now.Before(g.coldUntil) && len(g.openings) >= max(minColdFlows, int(g.rampRate)) {
+	if g.limited(now) && len(g.openings) >= max(minColdFlows, int(g.rampRate)) {
 		return ReasonCold, false
 	}
 	if g.silent {
@@ -82,6 +82,11 @@
 	return ReasonNone, true
 }
 
+// limited reports whether a cold start with a stated rate goes on.
+func (g *gate) limited(now hickorymodel.Instant) bool {
+	return g.rampRate > 0 && now.Before(g.coldUntil)
+}
+
 func (g *gate) forget(now hickorymodel.Instant) {
 	old := 0
 	for old < len(g.openings) && now.Sub(g.openings[old]) >= gateWindow {
--- /dev/null
+++ b/core/hickorysteering/agent_test.go
@@ -0,0 +1,240 @@
+package hickorysteering_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/schema/hickoryframe"
+)
+
+// side drives one agent.
+type side struct {
+	is    *is.I
+	agent *hickorysteering.Agent
+	now   hickorymodel.Instant
+	steps []hickorysteering.Step
+	times []time.Duration
+}
+
+var (
+	balancer      = hickorymodel.Endpoint{Address: [4]byte{10, 9, 0, 1}, Port: balancerPort}
+	otherBalancer = hickorymodel.Endpoint{Address: [4]byte{10, 9, 0, 2}, Port: balancerPort}
+)
+
+func newSide(t *testing.T) *side {
+	s := &side{is: is.New(t), now: start}
+	s.agent = hickorysteering.NewAgent(start, clubroom, balancerPort, nil,
+		func(d *hickorysteering.Decision) { s.steps = append(s.steps, d.Step) },
+		hickorysteering.WithAnswerTime(func(d time.Duration) { s.times = append(s.times, d) }))
+	return s
+}
+
+// open hands the agent a first packet of a flow from the given port.
+func (s *side) open(port uint16, header hickoryframe.Header) []hickorysteering.Action {
+	packet := first(0)
+	packet.Flow.Source.Port = port
+	header.Kind = uint8(hickorysteering.KindOpen)
+	if header.Service == 0 {
+		header.Service = uint32(clubroom)
+	}
+	return s.agent.HandleFrame(s.now, balancer, &header, packet)
+}
+
+func (s *side) deliver(from hickorymodel.Endpoint) []hickorysteering.Action {
+	return s.agent.HandleFrame(s.now, from, &hickoryframe.Header{Kind: uint8(hickorysteering.KindData)}, data())
+}
+
+// answer lets the upstream send a packet of the flow.
+func (s *side) answer(packet hickorysteering.Packet) []hickorysteering.Action {
+	packet.Flow = hickorymodel.FlowKey{Source: service, Destination: caller, Protocol: hickorymodel.ProtocolTCP}
+	return s.agent.HandleUpstream(s.now, &packet)
+}
+
+// returned lets the upstream return a packet of the flow.
+func (s *side) returned(mark uint32) []hickorysteering.Action {
+	packet := data()
+	packet.Returned = true
+	packet.Mark = mark
+	return s.agent.HandleUpstream(s.now, packet)
+}
+
+func verbs(actions []hickorysteering.Action) []hickorysteering.Verb {
+	list := []hickorysteering.Verb{}
+	for _, action := range actions {
+		list = append(list, action.Verb)
+	}
+	return list
+}
+
+// reason returns the reason of the only action, a return.
+func (s *side) reason(actions []hickorysteering.Action) hickorysteering.Reason {
+	s.is.Equal(len(actions), 1)
+	s.is.Equal(hickorysteering.Kind(actions[0].Header.Kind), hickorysteering.KindReturn)
+	return hickorysteering.Reason(actions[0].Header.Reason)
+}
+
+// TestWrongService guards P2: the address of an upstream may have gone to
+// another service that the balancer does not know of.
+func TestWrongService(t *testing.T) {
+	s := newSide(t)
+	s.is.Equal(s.reason(s.open(1, hickoryframe.Header{Service: 77})), hickorysteering.ReasonWrongService)
+}
+
+// TestColdStartLimit guards P3, and against a limit where none is stated: a day
+// on which all upstreams had restarted served a third of its requests.
+func TestColdStartLimit(t *testing.T) {
+	cases := []struct {
+		name     string
+		header   hickoryframe.Header
+		admitted int
+	}{
+		{"stated rate", hickoryframe.Header{RampRate: 8000, ColdTime: 2000, RampTime: 2000}, 8},
+		{"low rate", hickoryframe.Header{RampRate: 500, ColdTime: 2000, RampTime: 2000}, 3},
+		{"no rate", hickoryframe.Header{ColdTime: 2000, RampTime: 2000}, 100},
+		{"warm", hickoryframe.Header{RampRate: 8000, RampTime: 2000}, 100},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSide(t)
+			admitted := 0
+			for port := range uint16(100) {
+				s.now = s.now.Add(10 * time.Millisecond)
+				actions := s.open(port, c.header)
+				if actions[0].Verb == hickorysteering.VerbDeliver {
+					admitted++
+				}
+				s.answer(hickorysteering.Packet{Answer: true})
+			}
+			s.is.Equal(admitted, c.admitted)
+		})
+	}
+}
+
+// TestColdStartOfAnyBalancer guards against a balancer that has not heard of a
+// cold start and would end the limit that another one has named.
+func TestColdStartOfAnyBalancer(t *testing.T) {
+	s := newSide(t)
+	s.open(1, hickoryframe.Header{RampRate: 1000, ColdTime: 2000})
+	s.open(2, hickoryframe.Header{RampRate: 1000})
+	s.open(3, hickoryframe.Header{RampRate: 1000})
+	s.is.Equal(s.reason(s.open(4, hickoryframe.Header{RampRate: 1000})), hickorysteering.ReasonCold)
+}
+
+// TestReturnedPacketGoesBack guards against packets that are lost at an upstream
+// that does not hold their flow. The mark alone tells the balancer, so that it
+// also works for an agent that has just started.
+func TestReturnedPacketGoesBack(t *testing.T) {
+	s := newSide(t)
+	delivered := s.deliver(balancer)
+	s.is.Equal(verbs(delivered), []hickorysteering.Verb{hickorysteering.VerbDeliver})
+	fresh := newSide(t)
+	actions := fresh.returned(delivered[0].Mark)
+	fresh.is.Equal(fresh.reason(actions), hickorysteering.ReasonNotHeld)
+	fresh.is.Equal(actions[0].Target, balancer)
+}
+
+// TestLostFlow guards against a balancer that searches for a flow which the
+// upstream held and lost, and against full load on an upstream that has restarted.
+func TestLostFlow(t *testing.T) {
+	s := newSide(t)
+	s.open(1, hickoryframe.Header{RampRate: 1000, RampTime: 2000})
+	mark := s.deliver(balancer)[0].Mark
+	s.answer(hickorysteering.Packet{Data: 5})
+	s.is.Equal(s.reason(s.returned(mark)), hickorysteering.ReasonEnded)
+	admitted := 0
+	for port := range uint16(10) {
+		if s.open(port, hickoryframe.Header{RampRate: 1000, RampTime: 2000})[0].Verb == hickorysteering.VerbDeliver {
+			admitted++
+		}
+	}
+	s.is.Equal(admitted, 2) // one of the window was delivered before
+}
+
+// TestNoticeOncePerBalancer guards against a notice with each packet, and
+// against a balancer that is not told because another one was.
+func TestNoticeOncePerBalancer(t *testing.T) {
+	s := newSide(t)
+	send := []hickorysteering.Verb{hickorysteering.VerbCaller}
+	tell := []hickorysteering.Verb{hickorysteering.VerbCaller, hickorysteering.VerbNotice}
+	s.deliver(balancer)
+	s.is.Equal(verbs(s.answer(hickorysteering.Packet{Answer: true})), tell)
+	s.is.Equal(verbs(s.answer(hickorysteering.Packet{})), tell) // open now
+	s.is.Equal(verbs(s.answer(hickorysteering.Packet{})), send)
+	s.deliver(otherBalancer)
+	actions := s.answer(hickorysteering.Packet{})
+	s.is.Equal(verbs(actions), tell)
+	s.is.Equal(actions[1].Target, otherBalancer)
+	s.is.Equal(actions[1].Flow, flow)
+}
+
+// TestSilentUpstream guards against first packets at an upstream that does not
+// answer, and against one that never gets a further try.
+func TestSilentUpstream(t *testing.T) {
+	s := newSide(t)
+	s.open(1, hickoryframe.Header{})
+	s.open(2, hickoryframe.Header{})
+	s.agent.Tick(s.now.Add(100 * time.Millisecond))
+	s.is.Equal(len(s.steps), 0) // too early to tell
+	s.now = s.now.Add(130 * time.Millisecond)
+	reports := s.agent.Tick(s.now)
+	s.is.Equal(s.steps, []hickorysteering.Step{hickorysteering.StepUpstreamSilent})
+	s.is.Equal(hickorysteering.State(reports[0].Report.State), hickorysteering.StateSilent)
+	s.is.Equal(s.reason(s.open(3, hickoryframe.Header{})), hickorysteering.ReasonSilent)
+	s.now = s.now.Add(250 * time.Millisecond)
+	s.is.Equal(s.open(4, hickoryframe.Header{})[0].Verb, hickorysteering.VerbDeliver)
+	s.answer(hickorysteering.Packet{Answer: true})
+	s.is.Equal(s.open(5, hickoryframe.Header{})[0].Verb, hickorysteering.VerbDeliver)
+}
+
+// TestStop guards P9: an agent that is being stopped refuses new flows, says so
+// at once, and still serves open ones.
+func TestStop(t *testing.T) {
+	s := newSide(t)
+	s.deliver(balancer)
+	s.is.Equal(s.agent.Busy(), 1)
+	reports := s.agent.Stop(s.now)
+	s.is.Equal(hickorysteering.State(reports[0].Report.State), hickorysteering.StateStopping)
+	s.is.Equal(s.reason(s.open(1, hickoryframe.Header{})), hickorysteering.ReasonStopping)
+	s.is.Equal(s.deliver(balancer)[0].Verb, hickorysteering.VerbDeliver)
+	s.now = s.now.Add(30 * time.Millisecond)
+	s.answer(hickorysteering.Packet{Data: 5})
+	s.is.Equal(s.agent.Busy(), 0)
+	s.is.Equal(s.times, []time.Duration{30 * time.Millisecond})
+}
+
+// TestReportNamesOpenFlows guards against reports that count flows which have
+// ended, or that leave out their addresses.
+func TestReportNamesOpenFlows(t *testing.T) {
+	s := newSide(t)
+	s.deliver(balancer)
+	s.answer(hickorysteering.Packet{Data: 5})
+	hello := hickoryframe.Header{Kind: uint8(hickorysteering.KindHello)}
+	report := s.agent.HandleFrame(s.now, balancer, &hello, nil)[0]
+	s.is.Equal(report.Report.Flows, uint32(1))
+	s.is.Equal(report.Addresses, []hickoryframe.Address{{IP: [4]byte{198, 51, 100, 1}, Port: 443}})
+	s.answer(hickorysteering.Packet{Finish: true})
+	report = s.agent.HandleFrame(s.now, balancer, &hello, nil)[0]
+	s.is.Equal(report.Report.Flows, uint32(0))
+	s.is.Equal(len(report.Addresses), 0)
+}
+
+// TestReportRate guards the bound of an agent's reports when there are many
+// balancers.
+func TestReportRate(t *testing.T) {
+	s := newSide(t)
+	hello := hickoryframe.Header{Kind: uint8(hickorysteering.KindHello)}
+	for i := range 200 {
+		from := hickorymodel.Endpoint{Address: [4]byte{10, 9, 1, byte(i)}, Port: balancerPort}
+		s.agent.HandleFrame(s.now, from, &hello, nil)
+	}
+	sent := 0
+	for range 20 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		sent += len(s.agent.Tick(s.now))
+	}
+	s.is.True(sent <= 2*50)
+}
--- /dev/null
+++ b/core/hickorysteering/open_test.go
@@ -0,0 +1,172 @@
+package hickorysteering_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/schema/hickoryframe"
+	"hickoryworks/schema/hickoryid"
+)
+
+// TestFirstPacketStaysInZone guards against flows that cross zones while the own
+// zone has room.
+func TestFirstPacketStaysInZone(t *testing.T) {
+	f := newFixture(t, "b", "a", "b")
+	f.is.Equal(targets(f.balancer.Handle(f.now, first(0))), []hickorymodel.Endpoint{agent(1)})
+}
+
+// TestFirstPacketLeavesFullZone guards against a full zone that keeps all flows
+// while another one is idle.
+func TestFirstPacketLeavesFullZone(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.balancer.HandleReport(f.now, agent(0), &hickoryframe.Header{Service: uint32(clubroom)},
+		&hickoryframe.Report{State: uint8(hickorysteering.StateAccepting), Busy: 6}, nil)
+	f.is.Equal(targets(f.balancer.Handle(f.now, first(0))), []hickorymodel.Endpoint{agent(1)})
+}
+
+// TestFirstPacketAvoids guards against new flows at upstreams that must not or
+// cannot take them.
+func TestFirstPacketAvoids(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(f *fixture)
+	}{
+		{"leaving or zone out of service", func(f *fixture) {
+			f.view.Upstreams[0].Accepting = false
+			f.balancer.SetView(f.now, f.view)
+		}},
+		{"agent that is being stopped", func(f *fixture) { f.report(agent(0), hickorysteering.StateStopping) }},
+		{"upstream that does not answer", func(f *fixture) { f.report(agent(0), hickorysteering.StateSilent) }},
+		{"agent that does not answer", func(f *fixture) {
+			f.balancer.Handle(f.now, first(0))
+			f.now = f.now.Add(1300 * time.Millisecond)
+			f.balancer.Tick(f.now)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, "a", "b")
+			c.prepare(f)
+			other := first(0)
+			other.Flow.Source.Port++
+			f.is.Equal(targets(f.balancer.Handle(f.now, other)), []hickorymodel.Endpoint{agent(1)})
+		})
+	}
+}
+
+// TestNoRouteIsRefusedAtOnce guards against callers that wait for an address
+// without a route, and against refusals before the configuration is known.
+func TestNoRouteIsRefusedAtOnce(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		f := newFixture(t, "a")
+		f.balancer.SetView(f.now, &hickorydirectory.View{Known: known})
+		actions := f.balancer.Handle(f.now, first(0))
+		f.is.Equal(len(targets(actions)), 0)
+		f.is.Equal(resets(actions) == 1, known)
+	}
+}
+
+// TestCopyTriesAnotherUpstream guards against all copies of a first packet going
+// to an upstream that is dead.
+func TestCopyTriesAnotherUpstream(t *testing.T) {
+	f := newFixture(t, "a", "a", "a")
+	seen := []hickorymodel.Endpoint{}
+	for copies := range uint32(3) {
+		seen = append(seen, targets(f.balancer.Handle(f.now, first(copies)))...)
+	}
+	f.is.Equal(len(seen), 3)
+	slices.SortFunc(seen, hickorymodel.Endpoint.Compare)
+	f.is.Equal(seen, []hickorymodel.Endpoint{agent(0), agent(1), agent(2)})
+}
+
+// TestCopyStaysWithAnswer guards against a second owner once an upstream has
+// answered the first packet.
+func TestCopyStaysWithAnswer(t *testing.T) {
+	f := newFixture(t, "a", "a")
+	chosen := targets(f.balancer.Handle(f.now, first(0)))
+	f.balancer.HandleNotice(f.now, chosen[0], hickorysteering.ReasonAnswered, flow)
+	f.is.Equal(targets(f.balancer.Handle(f.now, first(1))), chosen)
+}
+
+// TestRefusedFirstPacket guards against an attempt that ends at the first
+// upstream that refuses it, and against one that ends before its last copy or
+// stays unanswered after it.
+func TestRefusedFirstPacket(t *testing.T) {
+	for copies := range uint32(3) {
+		f := newFixture(t, "a", "b")
+		from := targets(f.balancer.Handle(f.now, first(copies)))
+		next := f.balancer.HandleReturn(f.now, from[0], hickorysteering.ReasonFull, first(copies))
+		f.is.Equal(targets(next), []hickorymodel.Endpoint{agent(1)})
+		last := f.balancer.HandleReturn(f.now, agent(1), hickorysteering.ReasonFull, first(copies))
+		f.is.Equal(len(targets(last)), 0)
+		f.is.Equal(resets(last) == 1, copies == 2)
+	}
+}
+
+// TestLateReturnIsIgnored guards against a flow that moves on because an
+// upstream which is no longer asked has refused its first packet.
+func TestLateReturnIsIgnored(t *testing.T) {
+	f := newFixture(t, "a", "a")
+	early := targets(f.balancer.Handle(f.now, first(0)))
+	f.balancer.Handle(f.now, first(1))
+	f.is.Equal(len(f.balancer.HandleReturn(f.now, early[0], hickorysteering.ReasonCold, first(0))), 0)
+}
+
+// TestWeights guards against new flows at a target of weight 0, and against
+// copies of one first packet at two services.
+func TestWeights(t *testing.T) {
+	f := newFixture(t, "a", "a")
+	packetdesk := hickorydirectory.HashService("packetdesk")
+	f.view.Upstreams[1].Service = packetdesk
+	f.view.Routes[service] = &hickorydirectory.Route{WeightSum: 1, Targets: []hickorydirectory.Target{{Service: packetdesk, Weight: 1}}}
+	f.balancer.SetView(f.now, f.view)
+	for port := range uint16(50) {
+		packet := first(0)
+		packet.Flow.Source.Port += port
+		f.is.Equal(targets(f.balancer.Handle(f.now, packet)), []hickorymodel.Endpoint{agent(1)})
+	}
+}
+
+// TestFrameNamesColdStart guards against agents that do not learn of a cold start.
+func TestFrameNamesColdStart(t *testing.T) {
+	f := newFixture(t, "a")
+	f.view.Upstreams[0].ColdUntil = f.now.Add(2 * time.Second)
+	f.view.Upstreams[0].RampTime = 3 * time.Second
+	f.view.Upstreams[0].RampRate = 2.5
+	f.balancer.SetView(f.now, f.view)
+	header := f.balancer.Handle(f.now, first(0))[0].Header
+	f.is.Equal(header.ColdTime, uint32(2001))
+	f.is.Equal(header.RampTime, uint32(3000))
+	f.is.Equal(header.RampRate, uint32(2500))
+	f.is.Equal(header.Service, uint32(clubroom))
+}
+
+// TestIsolated guards against a balancer that stays in the rotation though no
+// agent answers it, and against one that leaves it because of a single agent.
+func TestIsolated(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.is.True(!f.balancer.Isolated())
+	for range 80 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.balancer.Tick(f.now)
+	}
+	f.is.True(f.balancer.Isolated())
+	f.report(agent(1), hickorysteering.StateAccepting)
+	f.is.True(!f.balancer.Isolated())
+}
+
+// TestReusedEndpoint guards against a removed upstream that hides the one which
+// has its endpoint now.
+func TestReusedEndpoint(t *testing.T) {
+	f := newFixture(t, "a")
+	removed := f.view.Upstreams[0]
+	removed.ID, removed.Accepting = "z-removed", false
+	f.view.Upstreams = append(f.view.Upstreams, removed)
+	f.balancer.SetView(f.now, f.view)
+	f.is.Equal(targets(f.balancer.Handle(f.now, first(0))), []hickorymodel.Endpoint{agent(0)})
+	f.is.Equal(f.decisions[len(f.decisions)-1].Upstream, hickoryid.UpstreamID("u-0"))
+}
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -106,7 +106,29 @@
 		return
 	}
 	b.endSearch(p.Flow, s)
-	b.decide(&Decision{Step: StepNotFound, Flow: p.Flow, Count: s.asked})
+	if !b.knowsHolders(now) {
+		b.decide(&Decision{Step: StepNotFound, Flow: p.Flow, Count: s.asked})
+		return
+	}
+	b.lose(from, ReasonNotHeld, p)
+}
+
+// knowsHolders reports whether all agents have said lately which addresses their
+// upstreams hold flows to, so that nobody holds a flow that no one was found for.
+func (b *Balancer) knowsHolders(now hickorymodel.Instant) bool {
+	if !b.view.Known {
+		return false
+	}
+	for _, p := range b.peers {
+		if !p.listed {
+			continue
+		}
+		old := !p.silent && now.Sub(p.reportedAt) > reportLife
+		if p.reportedAt == 0 || old {
+			return false
+		}
+	}
+	return true
 }
 
 // widenSearches moves searches on that the own zone has not answered.
--- /dev/null
+++ b/core/hickorysteering/search_test.go
@@ -0,0 +1,135 @@
+package hickorysteering_test
+
+import (
+	"testing"
+	"time"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/schema/hickoryframe"
+)
+
+// TestUnknownFlowIsSearched guards against flows that break when their packets
+// reach a balancer that has just started.
+func TestUnknownFlowIsSearched(t *testing.T) {
+	f := newFixture(t, "a", "a", "b")
+	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0), agent(1)})
+	f.is.Equal(len(targets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data()))), 0)
+	wide := f.balancer.HandleReturn(f.now, agent(1), hickorysteering.ReasonNotHeld, data())
+	f.is.Equal(targets(wide), []hickorymodel.Endpoint{agent(2)})
+	f.balancer.HandleNotice(f.now, agent(2), hickorysteering.ReasonOpen, flow)
+	f.is.Equal(f.lastStep(), hickorysteering.StepFound)
+	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(2)})
+}
+
+// TestSearchLeavesSilentZone guards against a search that waits for a dead agent
+// of the own zone.
+func TestSearchLeavesSilentZone(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.balancer.Handle(f.now, data())
+	f.is.True(f.balancer.Searching())
+	f.now = f.now.Add(25 * time.Millisecond)
+	f.is.Equal(targets(f.balancer.Tick(f.now)), []hickorymodel.Endpoint{agent(1)})
+	f.is.True(!f.balancer.Searching())
+}
+
+// TestFlowThatNobodyHolds guards against callers that wait until their deadline
+// after every upstream was restarted, and against a reset of a flow that an
+// agent which was not heard may hold.
+func TestFlowThatNobodyHolds(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(f *fixture)
+		reset   bool
+	}{
+		{"all agents have reported", func(*fixture) {}, true},
+		{"an agent of another service was never heard", func(f *fixture) {
+			unheard := f.view.Upstreams[0]
+			unheard.ID, unheard.Service = "u-9", hickorydirectory.HashService("packetdesk")
+			unheard.Endpoint.Address[3] = 9
+			f.view.Upstreams = append(f.view.Upstreams, unheard)
+			f.balancer.SetView(f.now, f.view)
+		}, false},
+		{"reports are old", func(f *fixture) { f.now = f.now.Add(6 * time.Second) }, false},
+		{"the state is not known", func(f *fixture) {
+			f.view.Known = false
+			f.balancer.SetView(f.now, f.view)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, "a")
+			c.prepare(f)
+			f.balancer.Handle(f.now, data())
+			actions := f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
+			f.is.Equal(resets(actions) == 1, c.reset)
+		})
+	}
+}
+
+// TestLostFlowIsReset guards against callers that wait for an upstream which has
+// restarted, whoever knows that it held the flow.
+func TestLostFlowIsReset(t *testing.T) {
+	t.Run("the balancer knows", func(t *testing.T) {
+		f := newFixture(t, "a", "a")
+		f.balancer.HandleNotice(f.now, agent(0), hickorysteering.ReasonOpen, flow)
+		actions := f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
+		f.is.Equal(resets(actions), 1)
+		f.is.Equal(actions[0].Sequence, uint32(500)) // what the caller has acknowledged
+	})
+	t.Run("the agent knows", func(t *testing.T) {
+		f := newFixture(t, "a", "a")
+		f.balancer.Handle(f.now, data())
+		f.is.Equal(resets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonEnded, data())), 1)
+	})
+}
+
+// TestSecondAnswerWins guards against a flow that is reset because the upstream
+// which answered first is not the one whose answer the caller took.
+func TestSecondAnswerWins(t *testing.T) {
+	f := newFixture(t, "a", "a")
+	chosen := targets(f.balancer.Handle(f.now, first(0)))[0]
+	f.balancer.HandleNotice(f.now, chosen, hickorysteering.ReasonAnswered, flow)
+	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{chosen})
+	other := agent(0)
+	if chosen == other {
+		other = agent(1)
+	}
+	actions := f.balancer.HandleReturn(f.now, chosen, hickorysteering.ReasonNotHeld, data())
+	f.is.Equal(resets(actions), 0)
+	f.is.Equal(targets(actions), []hickorymodel.Endpoint{other})
+}
+
+// TestReportedAddressIsSearched guards against flows that break when their route
+// goes to another service: only the agent knows who holds them.
+func TestReportedAddressIsSearched(t *testing.T) {
+	f := newFixture(t, "a", "a")
+	f.view.Upstreams[1].Service = hickorydirectory.HashService("packetdesk")
+	f.balancer.SetView(f.now, f.view)
+	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0)})
+	f.report(agent(1), hickorysteering.StateAccepting, hickoryframe.Address{IP: [4]byte{198, 51, 100, 1}, Port: 443})
+	other := data()
+	other.Flow.Source.Port++
+	f.is.Equal(targets(f.balancer.Handle(f.now, other)), []hickorymodel.Endpoint{agent(0), agent(1)})
+}
+
+// TestRemovedUpstreamKeepsFlows guards against open flows that break when the
+// list loses their upstream.
+func TestRemovedUpstreamKeepsFlows(t *testing.T) {
+	f := newFixture(t, "a", "a")
+	f.view.Upstreams[0].Accepting = false
+	f.balancer.SetView(f.now, f.view)
+	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0), agent(1)})
+	f.balancer.HandleNotice(f.now, agent(0), hickorysteering.ReasonOpen, flow)
+	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0)})
+}
+
+// TestIdleFlowIsForgotten guards the bound of the cache.
+func TestIdleFlowIsForgotten(t *testing.T) {
+	f := newFixture(t, "a")
+	f.balancer.HandleNotice(f.now, agent(0), hickorysteering.ReasonOpen, flow)
+	f.is.Equal(f.balancer.Flows(), 1)
+	f.balancer.Tick(f.now.Add(21 * time.Second))
+	f.is.Equal(f.balancer.Flows(), 0)
+}
--- a/io/hickoryfabric/balancer_decider.go
+++ b/io/hickoryfabric/balancer_decider.go
@@ -42,12 +42,17 @@
 	defer timer.Stop()
 	searching := false
 	for {
+		// Packets wait in their ring until there is something to decide with.
+		packets := d.rings.fromCallers.Items()
+		if !d.known {
+			packets = nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case view := <-d.rings.views.Items():
 			d.setView(ctx, view)
-		case frame := <-d.rings.fromCallers.Items():
+		case frame := <-packets:
 			d.handlePacket(ctx, frame)
 		case frame := <-d.rings.fromAgents.Items():
 			d.handleFrame(ctx, frame)
--- a/io/hickoryyaml/validate.go
+++ b/io/hickoryyaml/validate.go
@@ -50,11 +50,7 @@
 		return schema, nil
 	}
 	if s.compiler == nil {
-		compiler, err := newCompiler()
-		if err != nil {
-			return nil, err
-		}
-		s.compiler = compiler
+		s.compiler = newCompiler()
 	}
 	schema, err := s.compiler.Compile(baseURL + name)
 	if err != nil {
@@ -64,18 +60,24 @@
 	return schema, nil
 }
 
-func newCompiler() (*jsonschema.Compiler, error) {
-	compiler := jsonschema.NewCompiler()
-	for name, source := range hickoryschema.Sources {
-		document, err := jsonschema.UnmarshalJSON(strings.NewReader(source))
-		if err != nil {
-			return nil, errors.Wrapf(err, "parse schema %s", name)
-		}
-		if err := compiler.AddResource(baseURL+name, document); err != nil {
-			return nil, errors.Wrapf(err, "add schema %s", name)
-		}
+// sourceLoader parses the schema files that a definition refers to. Parsing all
+// of them takes most of the time of a start.
+type sourceLoader struct{}
+
+// Load returns the schema file of a URL.
+func (sourceLoader) Load(url string) (any, error) {
+	source, ok := hickoryschema.Sources[strings.TrimPrefix(url, baseURL)]
+	if !ok {
+		return nil, errors.Errorf("no schema %s", url)
 	}
-	return compiler, nil
+	document, err := jsonschema.UnmarshalJSON(strings.NewReader(source))
+	return document, errors.Wrapf(err, "parse schema %s", url)
+}
+
+func newCompiler() *jsonschema.Compiler {
+	compiler := jsonschema.NewCompiler()
+	compiler.UseLoader(sourceLoader{})
+	return compiler
 }
 
 // validate returns the problems of a text that has been parsed.
--- a/schema/hickoryframe/frame_generated.go
+++ b/schema/hickoryframe/frame_generated.go
@@ -19,7 +19,7 @@
 	Reserved uint8
 	// Service is the hash of the service's name.
 	Service uint32
-	// RampRate is the number of new flows in 1000 seconds that the upstream bears in cold start.
+	// RampRate is the number of new flows in 1000 seconds that the upstream bears in cold start; 0 stands for no limit.
 	RampRate uint32
 	// ColdTime is the time in milliseconds for which the sender believes the upstream to stay in cold start.
 	ColdTime uint32
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -301,7 +301,7 @@
 	Name hickoryid.ServiceName `json:"name" yaml:"name"`
 
 	// RampRate is the number of new flows a second that an upstream bears in cold
-	// start.
+	// start; 0 stands for no limit.
 	RampRate float64 `json:"rampRate" yaml:"rampRate"`
 
 	// RampTime is the length of a cold start.
