--- /dev/null
+++ b/io/hickoryfabric/follower_test.go
@@ -0,0 +1,91 @@
+package hickoryfabric
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/io/hickoryring"
+)
+
+var (
+	errGone   = errors.New("gone")
+	errFailed = errors.New("failed")
+)
+
+func testFollower(store Store) *follower {
+	store.HistoryGone = func(err error) bool { return errors.Is(err, errGone) }
+	return newFollower(store, rand.New(rand.NewPCG(1, 1)), hickoryring.NewStoreRing(), tally.NoopScope)
+}
+
+// TestFollowerPauses guards the number of calls: each one is paid for, also
+// those that fail.
+func TestFollowerPauses(t *testing.T) {
+	is := is.New(t)
+	f := testFollower(Store{})
+	is.Equal(f.next(&hickorydirectory.Batch{Through: 4}, nil), time.Duration(0)) // a watch that ran out waited already
+	is.Equal(f.next(&hickorydirectory.Batch{Through: 5, Changes: make([]hickorydirectory.Change, 1)}, nil), batchPause)
+	longest := time.Duration(0)
+	for range 20 {
+		wait := f.next(nil, errFailed)
+		is.True(wait >= retryBase/2)
+		longest = max(longest, wait)
+	}
+	is.True(longest > retryLimit/2)
+	is.True(longest < 2*retryLimit)
+}
+
+// TestFollowerLists guards against a follower that watches before it has listed,
+// that lists again after each failure, or that does not after its history is gone.
+func TestFollowerLists(t *testing.T) {
+	is := is.New(t)
+	calls := ""
+	f := testFollower(Store{
+		List: func(context.Context) (*hickorydirectory.Batch, error) {
+			calls += "L"
+			return &hickorydirectory.Batch{Through: 7}, nil
+		},
+		Watch: func(_ context.Context, after hickorydirectory.Revision, _ time.Duration) (*hickorydirectory.Batch, error) {
+			calls += "W"
+			is.Equal(after, hickorydirectory.Revision(7))
+			return nil, errFailed
+		},
+	})
+	for range 3 {
+		batch, err := f.call(t.Context())
+		f.next(batch, err)
+	}
+	f.next(nil, errGone)
+	_, _ = f.call(t.Context())
+	is.Equal(calls, "LWWL")
+}
+
+// TestFollowerBoundsCalls guards against a connection that has gone silent.
+func TestFollowerBoundsCalls(t *testing.T) {
+	is := is.New(t)
+	bounded := func(ctx context.Context, limit time.Duration) {
+		deadline, ok := ctx.Deadline()
+		is.True(ok)
+		is.True(time.Until(deadline) <= limit)
+	}
+	f := testFollower(Store{
+		List: func(ctx context.Context) (*hickorydirectory.Batch, error) {
+			bounded(ctx, listTimeout)
+			return &hickorydirectory.Batch{}, nil
+		},
+		Watch: func(ctx context.Context, _ hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error) {
+			bounded(ctx, wait+watchSlack)
+			return &hickorydirectory.Batch{}, nil
+		},
+	})
+	for range 2 {
+		batch, err := f.call(t.Context())
+		f.next(batch, err)
+	}
+}
