Call the store less often

Each balancer watched again 200 ms after each answer, and hosts that warm up change their entries with each beat.

Change: the pause after an answer with changes is 800 ms, so a change takes effect after 0.8 s and an answer at most, of the 3 s that a configuration has. A watch waits 3 s, so that a connection which goes silent is given up after 3.7 s, before its balancer counts as undisturbed again (4 s).

--- a/io/hickoryfabric/follower.go
+++ b/io/hickoryfabric/follower.go
@@ -18,10 +18,11 @@
 	// watchWait is how long the store holds a watch without changes. A
 	// connection that has gone silent blinds a balancer for that time and
 	// watchSlack at most, which must stay below the time to apply a change.
-	watchWait  = 2500 * time.Millisecond
+	watchWait  = 3 * time.Second
 	watchSlack = 700 * time.Millisecond
-	// batchPause lets changes gather between two watches, since each call costs.
-	batchPause = 200 * time.Millisecond
+	// batchPause lets changes gather between two watches, since each call is paid
+	// for. It adds to the time in which a change takes effect.
+	batchPause = 800 * time.Millisecond
 	// retryBase and retryLimit bound the pause after a failed call, which
 	// doubles with each further one.
 	retryBase  = 200 * time.Millisecond
--- a/io/hickoryfabric/path_test.go
+++ b/io/hickoryfabric/path_test.go
@@ -3,8 +3,6 @@
 import (
 	"net/netip"
 	"testing"
-
-	"hickoryworks/schema/hickoryid"
 )
 
 // openFlow opens the flow through a balancer, up to the upstream's answer.
@@ -69,7 +67,7 @@
 	w.store.mutex.Lock()
 	w.store.down = true
 	w.store.mutex.Unlock()
-	w.startBalancer(otherIP, 0, w.store.calls(), hickoryid.Endpoint(endpoint(balancerIP, w.port+2)))
+	w.startBalancer(otherIP, 0, w.store.calls(), endpoint(balancerIP, w.port+2))
 	w.openFlow(otherIP)
 }
 
