Reset an unknown flow only when all its possible upstreams are known

The upstream had been listed a moment ago; front-a-2 was in its pause between two watches and did not know it, so every agent that it knew had returned the packet.

Change: the follower tells up to which time all published changes are known (a watch pending for 300 ms, or the start of the last answered call). A search that nobody has answered stays open until that time is later than its begin, less the 400 ms for which a new upstream gets no flows while others have room; agents that have become known are asked first.

Ruled out: shorter pauses (the window shrinks but stays), asking another balancer (it may be behind as well).

--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -34,8 +34,10 @@
 	// agentPort is the port of the agents' data sockets.
 	agentPort uint16
 	random    *rand.Rand
-	// Decided is called with each decision.
+	// decided is called with each decision.
 	decided func(*Decision)
+	// confirmed returns the time up to which all published changes are known.
+	confirmed func(now hickorymodel.Instant) hickorymodel.Instant
 
 	view  *hickorydirectory.View
 	peers map[hickorymodel.Endpoint]*peer
@@ -50,13 +52,16 @@
 	actions  []Action
 }
 
-// NewBalancer returns a balancer that knows nothing yet.
-func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, decided func(*Decision)) *Balancer {
+// NewBalancer returns a balancer that knows nothing yet. Decided is called with
+// each decision; confirmed returns the time up to which all published changes
+// are known.
+func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, decided func(*Decision), confirmed func(now hickorymodel.Instant) hickorymodel.Instant) *Balancer {
 	return &Balancer{
 		zone:      zone,
 		agentPort: agentPort,
 		random:    random,
 		decided:   decided,
+		confirmed: confirmed,
 		view:      &hickorydirectory.View{},
 		peers:     map[hickorymodel.Endpoint]*peer{},
 		services:  map[hickorydirectory.ServiceHash][]*peer{},
@@ -78,6 +83,9 @@
 		if p.listed && !upstream.Accepting {
 			continue // a removed entry with the endpoint of a newer one
 		}
+		if p.upstream.ID != upstream.ID || p.listedAt == 0 {
+			p.listedAt = now
+		}
 		p.upstream = upstream
 		p.listed = true
 		b.services[upstream.Service] = append(b.services[upstream.Service], p)
@@ -163,7 +171,7 @@
 		}
 	}
 	b.sayHello(now)
-	b.widenSearches(now)
+	b.advanceSearches(now)
 	if now.Sub(b.sweptAt) >= sweepInterval {
 		b.sweptAt = now
 		b.sweep(now)
--- a/core/hickorysteering/choose.go
+++ b/core/hickorysteering/choose.go
@@ -22,6 +22,10 @@
 	// unansweredLife is how long an upstream that left a first packet
 	// unanswered is the last choice.
 	unansweredLife = 700 * time.Millisecond
+	// settleTime is how long an upstream must be known before it gets flows, if
+	// others have room: a balancer that does not know it yet would not find them.
+	// It is longer than an answer of a store that is 60 times as slow as usual.
+	settleTime = 400 * time.Millisecond
 	// tieLoad bounds the random number that separates equal loads.
 	tieLoad = 0.02
 )
@@ -43,7 +47,7 @@
 // that was not tried takes new flows. Upstreams that look dead are used only
 // when no other is left.
 func (b *Balancer) choose(now hickorymodel.Instant, service hickorydirectory.ServiceHash, tried *triedList) (*peer, float64) {
-	var local, remote, doubtful candidate
+	var local, remote, fresh, doubtful candidate
 	for _, p := range b.services[service] {
 		if !p.upstream.Accepting || tried.has(p.endpoint) {
 			continue
@@ -55,6 +59,8 @@
 		switch {
 		case b.doubts(now, p):
 			doubtful.offer(p, cost)
+		case now.Sub(p.listedAt) < settleTime:
+			fresh.offer(p, cost)
 		case p.upstream.Zone == b.zone:
 			local.offer(p, cost)
 		default:
@@ -66,6 +72,8 @@
 		return local.peer, local.cost
 	case remote.peer != nil:
 		return remote.peer, remote.cost
+	case fresh.peer != nil:
+		return fresh.peer, fresh.cost
 	default:
 		return doubtful.peer, doubtful.cost
 	}
--- a/core/hickorysteering/fixture_test.go
+++ b/core/hickorysteering/fixture_test.go
@@ -32,6 +32,8 @@
 	decisions []hickorysteering.Decision
 	now       hickorymodel.Instant
 	view      *hickorydirectory.View
+	// confirmed is the time up to which all published changes are known.
+	confirmed hickorymodel.Instant
 }
 
 // newFixture returns a balancer of zone a that knows upstreams of the zones
@@ -40,7 +42,7 @@
 	f := &fixture{is: is.New(t), now: start}
 	f.balancer = hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)), func(d *hickorysteering.Decision) {
 		f.decisions = append(f.decisions, *d)
-	})
+	}, func(hickorymodel.Instant) hickorymodel.Instant { return f.confirmed })
 	f.view = &hickorydirectory.View{
 		Version:     1,
 		Known:       true,
@@ -58,6 +60,8 @@
 		})
 	}
 	f.balancer.SetView(f.now, f.view)
+	f.now = f.now.Add(time.Second)
+	f.confirmed = f.now
 	for i := range zones {
 		f.report(agent(i), hickorysteering.StateAccepting)
 	}
--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -26,6 +26,8 @@
 	// upstream is the entry of the view; listed is false when there is none.
 	upstream hickorydirectory.Upstream
 	listed   bool
+	// listedAt is when the upstream became known.
+	listedAt hickorymodel.Instant
 
 	state      State
 	service    hickorydirectory.ServiceHash
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -27,6 +27,10 @@
 	// later are the agents that are not asked yet.
 	later     []hickorymodel.Endpoint
 	startedAt hickorymodel.Instant
+	// seen are all agents of pending and later, also those that have answered.
+	seen []hickorymodel.Endpoint
+	// exhausted is true once all agents have sent the packet back.
+	exhausted bool
 	// packet is the newest packet of the flow.
 	packet Packet
 	asked  int
@@ -41,6 +45,7 @@
 			b.widen(now, s)
 		}
 		b.ask(now, s, s.pending)
+		b.askNew(now, s)
 		return
 	}
 	if len(b.searches) >= maxSearches {
@@ -56,6 +61,7 @@
 		near, far = far, nil
 	}
 	s = &search{pending: near, later: far, startedAt: now, packet: *p}
+	s.seen = append(append(append(s.seen, near...), far...), except)
 	b.searches[p.Flow] = s
 	if len(far) > 0 {
 		b.widening++
@@ -105,12 +111,35 @@
 		b.widen(now, s)
 		return
 	}
-	b.endSearch(p.Flow, s)
-	if !b.knowsHolders(now) {
-		b.decide(&Decision{Step: StepNotFound, Flow: p.Flow, Count: s.asked})
+	s.exhausted = true
+	b.decide(&Decision{Step: StepNotFound, Flow: p.Flow, Count: s.asked})
+	b.conclude(now, s)
+}
+
+// askNew asks agents that have become known since a search began.
+func (b *Balancer) askNew(now hickorymodel.Instant, s *search) {
+	near, far := b.holders(now, s.packet.Flow.Destination, hickorymodel.Endpoint{})
+	for _, endpoint := range append(near, far...) {
+		if slices.Contains(s.seen, endpoint) {
+			continue
+		}
+		s.seen = append(s.seen, endpoint)
+		s.pending = append(s.pending, endpoint)
+		s.exhausted = false
+		b.ask(now, s, []hickorymodel.Endpoint{endpoint})
+	}
+}
+
+// conclude resets a flow that nobody holds, once all upstreams are known that it
+// may have been opened at. New upstreams get no flows for settleTime, so it must
+// have been listed that long before the search.
+func (b *Balancer) conclude(now hickorymodel.Instant, s *search) {
+	b.askNew(now, s)
+	complete := s.startedAt.Add(-settleTime).Before(b.confirmed(now))
+	if !s.exhausted || !complete || !b.knowsHolders(now) {
 		return
 	}
-	b.lose(from, ReasonNotHeld, p)
+	b.lose(hickorymodel.Endpoint{}, ReasonNotHeld, &s.packet)
 }
 
 // knowsHolders reports whether all agents have said lately which addresses their
@@ -131,13 +160,14 @@
 	return true
 }
 
-// widenSearches moves searches on that the own zone has not answered.
-func (b *Balancer) widenSearches(now hickorymodel.Instant) {
-	if b.widening == 0 {
-		return
-	}
+// advanceSearches moves searches on that the own zone has not answered, and ends
+// those that nobody has answered.
+func (b *Balancer) advanceSearches(now hickorymodel.Instant) {
 	for _, s := range b.searches {
-		if now.Sub(s.startedAt) > widenTime {
+		switch {
+		case s.exhausted:
+			b.conclude(now, s)
+		case len(s.later) > 0 && now.Sub(s.startedAt) > widenTime:
 			b.widen(now, s)
 		}
 	}
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -51,7 +51,11 @@
 			f.view.Upstreams = append(f.view.Upstreams, unheard)
 			f.balancer.SetView(f.now, f.view)
 		}, false},
-		{"reports are old", func(f *fixture) { f.now = f.now.Add(6 * time.Second) }, false},
+		{"reports are old", func(f *fixture) {
+			f.now = f.now.Add(6 * time.Second)
+			f.confirmed = f.now
+		}, false},
+		{"an upstream may be listed that is not known", func(f *fixture) { f.now = f.now.Add(500 * time.Millisecond) }, false},
 		{"the state is not known", func(f *fixture) {
 			f.view.Known = false
 			f.balancer.SetView(f.now, f.view)
@@ -133,3 +137,45 @@
 	f.balancer.Tick(f.now.Add(21 * time.Second))
 	f.is.Equal(f.balancer.Flows(), 0)
 }
+
+// TestNewUpstreamIsAskedBeforeReset guards against the reset of a flow at an
+// upstream that other balancers have known for longer: on a day of releases a
+// balancer reset a flow 90 ms after it was opened (trouble-1 of arboleda-lb,
+// seed 754516773262).
+func TestNewUpstreamIsAskedBeforeReset(t *testing.T) {
+	f := newFixture(t, "a")
+	f.now = f.now.Add(500 * time.Millisecond)
+	f.balancer.Handle(f.now, data())
+	f.is.Equal(resets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())), 0)
+	added := f.view.Upstreams[0]
+	added.ID = "u-1"
+	added.Endpoint.Address[3] = 2
+	f.view.Upstreams = append(f.view.Upstreams, added)
+	f.balancer.SetView(f.now, f.view)
+	f.confirmed = f.now
+	f.report(agent(1), hickorysteering.StateAccepting)
+	f.is.Equal(targets(f.balancer.Tick(f.now)), []hickorymodel.Endpoint{agent(1)})
+	actions := f.balancer.HandleReturn(f.now, agent(1), hickorysteering.ReasonNotHeld, data())
+	f.is.Equal(resets(actions), 1)
+}
+
+// TestNewUpstreamSettles guards the time that TestNewUpstreamIsAskedBeforeReset
+// relies on: flows go to upstreams that all balancers know.
+func TestNewUpstreamSettles(t *testing.T) {
+	f := newFixture(t, "a")
+	added := f.view.Upstreams[0]
+	added.ID = "u-1"
+	added.Endpoint.Address[3] = 2
+	f.view.Upstreams = append(f.view.Upstreams, added)
+	f.balancer.SetView(f.now, f.view)
+	f.report(agent(0), hickorysteering.StateStopping)
+	f.is.Equal(targets(f.balancer.Handle(f.now, first(0))), []hickorymodel.Endpoint{agent(1)}) // nobody else is left
+	f.report(agent(0), hickorysteering.StateAccepting)
+	seen := map[hickorymodel.Endpoint]bool{}
+	for port := range uint16(40) {
+		packet := first(0)
+		packet.Flow.Source.Port = 1000 + port
+		seen[targets(f.balancer.Handle(f.now, packet))[0]] = true
+	}
+	f.is.Equal(seen, map[hickorymodel.Endpoint]bool{agent(0): true})
+}
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -133,8 +133,8 @@
 // Start runs the duties until Close.
 func (b *Balancer) Start(ctx context.Context) error {
 	b.group = hickoryduty.New(string(b.settings.Instance), b.logger)
-	decider := b.newDecider()
-	follower := newFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings.answers, b.scope)
+	follower := newFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings.answers, b.clock, b.scope)
+	decider := b.newDecider(follower.confirmed)
 	keeper := b.newKeeper()
 	asker := &asker{client: b.calls, asks: b.rings.asks, states: b.rings.states, logger: b.logger}
 	b.group.Add("receive from callers", func(ctx context.Context) error { return b.callers.Receive(ctx, b.rings.fromCallers) })
@@ -155,7 +155,7 @@
 	return nil
 }
 
-func (b *Balancer) newDecider() *balancerDecider {
+func (b *Balancer) newDecider(confirmed func(hickorymodel.Instant) hickorymodel.Instant) *balancerDecider {
 	d := &balancerDecider{
 		clock:       b.clock,
 		translation: b.translation,
@@ -169,7 +169,7 @@
 		port:        b.callers.Endpoint().Port,
 	}
 	random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
-	d.steering = hickorysteering.NewBalancer(b.settings.Zone, b.callers.Endpoint().Port, random, d.recorder.record)
+	d.steering = hickorysteering.NewBalancer(b.settings.Zone, b.callers.Endpoint().Port, random, d.recorder.record, confirmed)
 	return d
 }
 
--- a/io/hickoryfabric/follower.go
+++ b/io/hickoryfabric/follower.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/io/hickoryclock"
 	"hickoryworks/io/hickoryring"
 )
 
@@ -20,6 +23,8 @@
 	// watchSlack at most, which must stay below the time to apply a change.
 	watchWait  = 3 * time.Second
 	watchSlack = 700 * time.Millisecond
+	// answerTime is the longest time that a healthy store takes for an answer.
+	answerTime = 300 * time.Millisecond
 	// batchPause lets changes gather between two watches, since each call is paid
 	// for. It adds to the time in which a change takes effect.
 	batchPause = 800 * time.Millisecond
@@ -41,19 +46,26 @@
 	through hickorydirectory.Revision
 	// failures counts the failed calls since the last answer.
 	failures int
+
+	clock *hickoryclock.Clock
+	// answeredSince is when the last answered call was sent, watchingSince when
+	// the pending watch was sent; 0 for none. Other duties read them.
+	answeredSince atomic.Int64
+	watchingSince atomic.Int64
 }
 
-func newFollower(store Store, random *rand.Rand, ring *hickoryring.StoreRing, scope tally.Scope) *follower {
+func newFollower(store Store, random *rand.Rand, ring *hickoryring.StoreRing, clock *hickoryclock.Clock, scope tally.Scope) *follower {
 	calls := map[string]tally.Counter{}
 	for _, outcome := range []string{"answered", "failed", "historyGone"} {
 		calls[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("store_calls")
 	}
-	return &follower{store: store, random: random, ring: ring, calls: calls}
+	return &follower{store: store, random: random, ring: ring, clock: clock, calls: calls}
 }
 
 // run follows the store until the context ends.
 func (f *follower) run(ctx context.Context) error {
 	for {
+		sent := f.clock.Now()
 		batch, err := f.call(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -61,6 +73,9 @@
 		if !f.ring.Put(ctx, hickoryring.StoreAnswer{Batch: batch, Err: err}) {
 			return ctx.Err()
 		}
+		if err == nil {
+			f.answeredSince.Store(int64(sent))
+		}
 		if err := pause(ctx, f.next(batch, err)); err != nil {
 			return err
 		}
@@ -75,9 +90,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
+	f.watchingSince.Store(int64(f.clock.Now()))
+	defer f.watchingSince.Store(0)
 	return f.store.Watch(ctx, f.through, watchWait)
 }
 
+// confirmed returns the time up to which all published changes are known: a
+// watch that is pending for longer than an answer takes has missed nothing.
+func (f *follower) confirmed(now hickorymodel.Instant) hickorymodel.Instant {
+	confirmed := hickorymodel.Instant(f.answeredSince.Load())
+	watching := hickorymodel.Instant(f.watchingSince.Load())
+	if watching != 0 && now.Sub(watching) >= answerTime {
+		confirmed = max(confirmed, now.Add(-answerTime))
+	}
+	return confirmed
+}
+
 // next notes the outcome of a call and returns the pause before the next one.
 func (f *follower) next(batch *hickorydirectory.Batch, err error) time.Duration {
 	if err == nil {
--- a/io/hickoryfabric/follower_test.go
+++ b/io/hickoryfabric/follower_test.go
@@ -11,6 +11,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/io/hickoryclock"
 	"hickoryworks/io/hickoryring"
 )
 
@@ -21,7 +23,7 @@
 
 func testFollower(store Store) *follower {
 	store.HistoryGone = func(err error) bool { return errors.Is(err, errGone) }
-	return newFollower(store, rand.New(rand.NewPCG(1, 1)), hickoryring.NewStoreRing(), tally.NoopScope)
+	return newFollower(store, rand.New(rand.NewPCG(1, 1)), hickoryring.NewStoreRing(), hickoryclock.New(), tally.NoopScope)
 }
 
 // TestFollowerPauses guards the number of calls: each one is paid for, also
@@ -89,3 +91,27 @@
 		f.next(batch, err)
 	}
 }
+
+// TestConfirmed guards against a balancer that takes its knowledge for complete
+// between two calls, or while a watch may be about to be answered.
+func TestConfirmed(t *testing.T) {
+	cases := []struct {
+		name              string
+		answered, watched hickorymodel.Instant
+		want              hickorymodel.Instant
+	}{
+		{"never", 0, 0, 0},
+		{"pause after an answer", 5, 0, 5},
+		{"watch has just begun", 5, hickorymodel.Instant(9900 * time.Millisecond), 5},
+		{"watch has been pending", 5, hickorymodel.Instant(9 * time.Second), hickorymodel.Instant(9700 * time.Millisecond)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := testFollower(Store{})
+			f.answeredSince.Store(int64(c.answered))
+			f.watchingSince.Store(int64(c.watched))
+			is.Equal(f.confirmed(hickorymodel.Instant(10*time.Second)), c.want)
+		})
+	}
+}
