Search large services in rounds, and move datagrams in batches

Each moved flow asked all 52 agents; the small balancers filled their processors, answered later than the 200 ms after which callers send again, and did not recover.

Change: a new flow goes to the least loaded of three upstreams of the zone, ranked by flow and agent as every balancer ranks them, and a search asks the first three first, then the first three of other zones, then the rest. Sockets of the datagram fabric read and write all waiting datagrams with one system call. The receive rings hold 256 frames and drop the oldest. Errors of sockets are counted and logged within limits.

TestSearchOfLargeService fails without the ranks.

--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -102,7 +102,7 @@
 func (b *Balancer) peer(endpoint hickorymodel.Endpoint) *peer {
 	p, ok := b.peers[endpoint]
 	if !ok {
-		p = &peer{endpoint: endpoint, addresses: map[hickorymodel.SocketAddress]hickorymodel.Instant{}}
+		p = &peer{endpoint: endpoint, hash: hashEndpoint(endpoint), addresses: map[hickorymodel.SocketAddress]hickorymodel.Instant{}}
 		b.peers[endpoint] = p
 	}
 	return p
--- a/core/hickorysteering/choose.go
+++ b/core/hickorysteering/choose.go
@@ -30,7 +30,7 @@
 	tieLoad = 0.02
 )
 
-// candidate is the best upstream of one zone class.
+// candidate is the best upstream of one class.
 type candidate struct {
 	peer *peer
 	cost float64
@@ -44,18 +44,18 @@
 }
 
 // choose returns the upstream for a new flow and its load, or nil when none
-// that was not tried takes new flows. Upstreams that look dead are used only
-// when no other is left.
-func (b *Balancer) choose(now hickorymodel.Instant, service hickorydirectory.ServiceHash, tried *triedList) (*peer, float64) {
+// that was not tried takes new flows. It takes the least loaded of the first
+// ranks of the own zone, so that other balancers know where to search first.
+// Upstreams that look dead are used only when no other is left.
+func (b *Balancer) choose(now hickorymodel.Instant, key hickorymodel.FlowKey, service hickorydirectory.ServiceHash, tried *triedList) (*peer, float64) {
 	var local, remote, fresh, doubtful candidate
+	var ranks topRanks
+	hash := key.Hash()
 	for _, p := range b.services[service] {
 		if !p.upstream.Accepting || tried.has(p.endpoint) {
 			continue
 		}
-		cost := p.load() + tieLoad*b.random.Float64()
-		if p.cold(now) {
-			cost += coldLoad
-		}
+		cost := b.cost(now, p)
 		switch {
 		case b.doubts(now, p):
 			doubtful.offer(p, cost)
@@ -63,10 +63,14 @@
 			fresh.offer(p, cost)
 		case p.upstream.Zone == b.zone:
 			local.offer(p, cost)
+			ranks.add(p, p.rank(hash))
 		default:
 			remote.offer(p, cost)
 		}
 	}
+	if first := b.least(now, &ranks); first.peer != nil && first.cost <= localLimit {
+		return first.peer, first.cost
+	}
 	switch {
 	case local.peer != nil && (remote.peer == nil || local.cost <= localLimit || local.cost <= remote.cost+remoteMargin):
 		return local.peer, local.cost
@@ -79,6 +83,24 @@
 	}
 }
 
+// cost returns the load of an upstream with what speaks against it.
+func (b *Balancer) cost(now hickorymodel.Instant, p *peer) float64 {
+	cost := p.load() + tieLoad*b.random.Float64()
+	if p.cold(now) {
+		cost += coldLoad
+	}
+	return cost
+}
+
+// least returns the least loaded upstream of the first ranks.
+func (b *Balancer) least(now hickorymodel.Instant, ranks *topRanks) candidate {
+	var best candidate
+	for _, p := range ranks.peers[:ranks.count] {
+		best.offer(p, b.cost(now, p))
+	}
+	return best
+}
+
 // doubts reports whether an upstream or its agent may not answer.
 func (b *Balancer) doubts(now hickorymodel.Instant, p *peer) bool {
 	unanswered := p.unansweredAt != 0 && now.Sub(p.unansweredAt) < unansweredLife
--- a/core/hickorysteering/fixture_test.go
+++ b/core/hickorysteering/fixture_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,6 +109,11 @@
 	return endpoints
 }
 
+// asked returns where the frames of actions go, in the order of the agents.
+func asked(actions []hickorysteering.Action) []hickorymodel.Endpoint {
+	return slices.SortedFunc(slices.Values(targets(actions)), hickorymodel.Endpoint.Compare)
+}
+
 // resets counts the resets to the caller.
 func resets(actions []hickorysteering.Action) int {
 	count := 0
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -62,7 +62,7 @@
 		b.giveUp(p, ReasonNone)
 		return
 	}
-	chosen, load := b.choose(now, service, &f.tried)
+	chosen, load := b.choose(now, p.Flow, service, &f.tried)
 	if chosen == nil {
 		b.giveUp(p, ReasonNone)
 		return
@@ -134,7 +134,7 @@
 	}
 	f.tried.add(from)
 	if service, ok := target(route, p.Flow); ok && !f.tried.full() {
-		if chosen, _ := b.choose(now, service, &f.tried); chosen != nil {
+		if chosen, _ := b.choose(now, p.Flow, service, &f.tried); chosen != nil {
 			b.place(now, p, route, f, StepRetried)
 			return
 		}
--- a/core/hickorysteering/pass.go
+++ b/core/hickorysteering/pass.go
@@ -1,6 +1,8 @@
 package hickorysteering
 
 import (
+	"slices"
+
 	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/core/hickorymodel"
 )
@@ -59,12 +61,14 @@
 	b.reset(p)
 }
 
-// holders returns the agents that may hold a flow: the own zone's first.
-func (b *Balancer) holders(now hickorymodel.Instant, address hickorymodel.SocketAddress, except hickorymodel.Endpoint) (near, far []hickorymodel.Endpoint) {
-	route := b.view.Routes[address]
-	for _, endpoint := range b.sortedPeers() {
-		p := b.peers[endpoint]
-		mayHold := p.holds(now, address) || serves(route, p)
+// holders returns the agents that may hold a flow, in the order in which they
+// are asked: the first ranks of the own zone, those of other zones, the rest of
+// the own zone, the rest.
+func (b *Balancer) holders(now hickorymodel.Instant, key hickorymodel.FlowKey, except hickorymodel.Endpoint) [][]hickorymodel.Endpoint {
+	var near, far []hickorymodel.Endpoint
+	route := b.view.Routes[key.Destination]
+	for endpoint, p := range b.peers {
+		mayHold := p.holds(now, key.Destination) || serves(route, p)
 		if endpoint == except || !mayHold {
 			continue
 		}
@@ -74,7 +78,12 @@
 			far = append(far, endpoint)
 		}
 	}
-	return near, far
+	hash := key.Hash()
+	b.sortByRank(near, hash)
+	b.sortByRank(far, hash)
+	nearFirst, farFirst := min(firstRanks, len(near)), min(firstRanks, len(far))
+	rounds := [][]hickorymodel.Endpoint{near[:nearFirst], far[:farFirst], near[nearFirst:], far[farFirst:]}
+	return slices.DeleteFunc(rounds, func(round []hickorymodel.Endpoint) bool { return len(round) == 0 })
 }
 
 // serves reports whether an agent's upstream belongs to a service of the route.
--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -23,6 +23,8 @@
 type peer struct {
 	// endpoint is the agent's data socket.
 	endpoint hickorymodel.Endpoint
+	// hash is the agent's part of its rank for a flow.
+	hash uint64
 	// upstream is the entry of the view; listed is false when there is none.
 	upstream hickorydirectory.Upstream
 	listed   bool
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -1,7 +1,6 @@
 package hickorysteering
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -11,8 +10,8 @@
 const (
 	// searchLife bounds a search; a later packet of the flow starts a new one.
 	searchLife = 3 * time.Second
-	// widenTime is how long the own zone is searched alone.
-	widenTime = 20 * time.Millisecond
+	// roundTime is how long the agents of one round are asked alone.
+	roundTime = 20 * time.Millisecond
 	// repeatTime tells a repeated packet, which the caller sends after 200 ms,
 	// from the next one of the same burst.
 	repeatTime = 150 * time.Millisecond
@@ -24,10 +23,12 @@
 type search struct {
 	// pending are the agents that were asked and have not sent the packet back.
 	pending []hickorymodel.Endpoint
-	// later are the agents that are not asked yet.
-	later     []hickorymodel.Endpoint
+	// rounds are the agents that are not asked yet, in their order.
+	rounds    [][]hickorymodel.Endpoint
 	startedAt hickorymodel.Instant
-	// seen are all agents of pending and later, also those that have answered.
+	// roundAt is when the last round was begun.
+	roundAt hickorymodel.Instant
+	// seen are all agents of pending and rounds, also those that have answered.
 	seen []hickorymodel.Endpoint
 	// exhausted is true once all agents have sent the packet back.
 	exhausted bool
@@ -41,10 +42,12 @@
 	s, running := b.searches[p.Flow]
 	if running {
 		s.packet = *p
+		b.ask(now, s, s.pending)
 		if now.Sub(s.startedAt) > repeatTime {
-			b.widen(now, s)
+			for len(s.rounds) > 0 {
+				b.widen(now, s)
+			}
 		}
-		b.ask(now, s, s.pending)
 		b.askNew(now, s)
 		return
 	}
@@ -52,22 +55,16 @@
 		b.decide(&Decision{Step: StepUnknown, Flow: p.Flow})
 		return
 	}
-	near, far := b.holders(now, p.Flow.Destination, except)
-	if len(near)+len(far) == 0 {
+	rounds := b.holders(now, p.Flow, except)
+	if len(rounds) == 0 {
 		b.decide(&Decision{Step: StepUnknown, Flow: p.Flow})
 		return
 	}
-	if len(near) == 0 {
-		near, far = far, nil
-	}
-	s = &search{pending: near, later: far, startedAt: now, packet: *p}
-	s.seen = append(append(append(s.seen, near...), far...), except)
+	s = &search{rounds: rounds, startedAt: now, packet: *p, seen: append(slices.Concat(rounds...), except)}
 	b.searches[p.Flow] = s
-	if len(far) > 0 {
-		b.widening++
-	}
-	b.decide(&Decision{Step: StepSearched, Flow: p.Flow, Peer: except, Count: len(near) + len(far)})
-	b.ask(now, s, s.pending)
+	b.widening++
+	b.decide(&Decision{Step: StepSearched, Flow: p.Flow, Peer: except, Count: len(s.seen) - 1})
+	b.widen(now, s)
 }
 
 func (b *Balancer) ask(now hickorymodel.Instant, s *search, agents []hickorymodel.Endpoint) {
@@ -77,20 +74,23 @@
 	}
 }
 
-// widen moves the search on to all agents.
+// widen begins the next round of a search.
 func (b *Balancer) widen(now hickorymodel.Instant, s *search) {
-	if len(s.later) == 0 {
+	if len(s.rounds) == 0 {
 		return
 	}
-	later := s.later
-	s.later = nil
-	b.widening--
-	s.pending = append(s.pending, later...)
-	b.ask(now, s, later)
+	next := s.rounds[0]
+	s.rounds = s.rounds[1:]
+	s.roundAt = now
+	if len(s.rounds) == 0 {
+		b.widening--
+	}
+	s.pending = append(s.pending, next...)
+	b.ask(now, s, next)
 }
 
 func (b *Balancer) endSearch(key hickorymodel.FlowKey, s *search) {
-	if len(s.later) > 0 {
+	if len(s.rounds) > 0 {
 		b.widening--
 	}
 	delete(b.searches, key)
@@ -107,7 +107,7 @@
 	if len(s.pending) > 0 {
 		return
 	}
-	if len(s.later) > 0 {
+	if len(s.rounds) > 0 {
 		b.widen(now, s)
 		return
 	}
@@ -118,8 +118,7 @@
 
 // askNew asks agents that have become known since a search began.
 func (b *Balancer) askNew(now hickorymodel.Instant, s *search) {
-	near, far := b.holders(now, s.packet.Flow.Destination, hickorymodel.Endpoint{})
-	for _, endpoint := range append(near, far...) {
+	for _, endpoint := range slices.Concat(b.holders(now, s.packet.Flow, hickorymodel.Endpoint{})...) {
 		if slices.Contains(s.seen, endpoint) {
 			continue
 		}
@@ -160,19 +159,15 @@
 	return true
 }
 
-// advanceSearches moves searches on that the own zone has not answered, and ends
-// those that nobody has answered.
+// advanceSearches begins the next round of searches that wait for an answer, and
+// ends those that nobody has answered.
 func (b *Balancer) advanceSearches(now hickorymodel.Instant) {
 	for _, s := range b.searches {
 		switch {
 		case s.exhausted:
 			b.conclude(now, s)
-		case len(s.later) > 0 && now.Sub(s.startedAt) > widenTime:
+		case len(s.rounds) > 0 && now.Sub(s.roundAt) > roundTime:
 			b.widen(now, s)
 		}
 	}
 }
-
-func (b *Balancer) sortedPeers() []hickorymodel.Endpoint {
-	return slices.SortedFunc(maps.Keys(b.peers), hickorymodel.Endpoint.Compare)
-}
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -1,6 +1,7 @@
 package hickorysteering_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,13 +9,14 @@
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/core/hickorysteering"
 	"hickoryworks/schema/hickoryframe"
+	"hickoryworks/schema/hickoryid"
 )
 
 // TestUnknownFlowIsSearched guards against flows that break when their packets
 // reach a balancer that has just started.
 func TestUnknownFlowIsSearched(t *testing.T) {
 	f := newFixture(t, "a", "a", "b")
-	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0), agent(1)})
+	f.is.Equal(asked(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0), agent(1)})
 	f.is.Equal(len(targets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data()))), 0)
 	wide := f.balancer.HandleReturn(f.now, agent(1), hickorysteering.ReasonNotHeld, data())
 	f.is.Equal(targets(wide), []hickorymodel.Endpoint{agent(2)})
@@ -115,7 +117,7 @@
 	f.report(agent(1), hickorysteering.StateAccepting, hickoryframe.Address{IP: [4]byte{198, 51, 100, 1}, Port: 443})
 	other := data()
 	other.Flow.Source.Port++
-	f.is.Equal(targets(f.balancer.Handle(f.now, other)), []hickorymodel.Endpoint{agent(0), agent(1)})
+	f.is.Equal(asked(f.balancer.Handle(f.now, other)), []hickorymodel.Endpoint{agent(0), agent(1)})
 }
 
 // TestRemovedUpstreamKeepsFlows guards against open flows that break when the
@@ -124,7 +126,7 @@
 	f := newFixture(t, "a", "a")
 	f.view.Upstreams[0].Accepting = false
 	f.balancer.SetView(f.now, f.view)
-	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0), agent(1)})
+	f.is.Equal(asked(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0), agent(1)})
 	f.balancer.HandleNotice(f.now, agent(0), hickorysteering.ReasonOpen, flow)
 	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0)})
 }
@@ -179,3 +181,44 @@
 	}
 	f.is.Equal(seen, map[hickorymodel.Endpoint]bool{agent(0): true})
 }
+
+// TestSearchOfLargeService guards against a search that asks all agents of a
+// large service for each flow: on a site with 51 upstreams the search for the
+// flows of a restarted balancer filled the processors of all small instances.
+func TestSearchOfLargeService(t *testing.T) {
+	zones := []hickoryid.ZoneName{}
+	for range 20 {
+		zones = append(zones, "a", "b")
+	}
+	f, other := newFixture(t, zones...), newFixture(t, zones...)
+	for port := range uint16(200) {
+		open, packet := first(0), data()
+		open.Flow.Source.Port, packet.Flow.Source.Port = port, port
+		owner := targets(f.balancer.Handle(f.now, open))[0]
+		f.balancer.HandleReport(f.now, owner, &hickoryframe.Header{}, &hickoryframe.Report{Flows: uint32(port / 20)}, nil)
+		round := targets(other.balancer.Handle(other.now, packet))
+		f.is.Equal(len(round), 3)
+		f.is.True(slices.Contains(round, owner))
+	}
+}
+
+// TestSearchReachesAll guards against agents that no round of a search asks.
+func TestSearchReachesAll(t *testing.T) {
+	zones := []hickoryid.ZoneName{}
+	for range 8 {
+		zones = append(zones, "a", "b")
+	}
+	f := newFixture(t, zones...)
+	seen := map[hickorymodel.Endpoint]int{}
+	pending := targets(f.balancer.Handle(f.now, data()))
+	for len(pending) > 0 {
+		from := pending[0]
+		seen[from]++
+		pending = append(pending[1:], targets(f.balancer.HandleReturn(f.now, from, hickorysteering.ReasonNotHeld, data()))...)
+	}
+	f.is.Equal(len(seen), 16)
+	for _, count := range seen {
+		f.is.Equal(count, 1)
+	}
+	f.is.Equal(f.lastStep(), hickorysteering.StepLost)
+}
--- a/io/hickoryfabric/agent.go
+++ b/io/hickoryfabric/agent.go
@@ -59,8 +59,8 @@
 		logger:      logger,
 		clock:       hickoryclock.New(),
 		rings: agentRings{
-			fromBalancers: hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropNewest),
-			fromUpstream:  hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropNewest),
+			fromBalancers: hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropOldest),
+			fromUpstream:  hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropOldest),
 			toUpstream:    hickoryring.NewFrameRing(sendCapacity, hickoryring.DropNewest),
 			out:           hickoryring.NewFrameRing(sendCapacity, hickoryring.DropNewest),
 		},
@@ -70,20 +70,23 @@
 
 func (a *Agent) open() error {
 	var err error
+	if a.exporter, a.scope, err = openMetrics(a.settings.MetricsEndpoint, a.settings.Instance); err != nil {
+		return err
+	}
+	failures := &socketErrors{recorder: newRecorder(a.scope, a.logger)}
 	if a.target, err = hickorymodel.ParseEndpoint(a.settings.UpstreamEndpoint); err != nil {
 		return err
 	}
-	if a.data, err = openSocket(a.settings.DataEndpoint); err != nil {
+	if a.data, err = openSocket(a.settings.DataEndpoint, failures.add); err != nil {
 		return err
 	}
-	if a.upstream, err = openSocket(a.settings.ReturnEndpoint); err != nil {
+	if a.upstream, err = openSocket(a.settings.ReturnEndpoint, failures.add); err != nil {
 		return err
 	}
 	if a.ready, err = listenReadiness(a.settings.ReadyEndpoint, a.translation.Readiness(a.Ready)); err != nil {
 		return err
 	}
-	a.exporter, a.scope, err = openMetrics(a.settings.MetricsEndpoint, a.settings.Instance)
-	return err
+	return nil
 }
 
 // Ready reports whether the agent takes new flows.
@@ -114,11 +117,11 @@
 	d.steering = hickorysteering.NewAgent(a.clock.Now(), service, uint16(a.settings.AgentPort), seeds, d.recorder.record,
 		hickorysteering.WithAnswerTime(d.answerTime.RecordDuration))
 	a.group = hickoryduty.New(string(a.settings.Instance), a.logger)
-	a.group.Add("receive from balancers", func(ctx context.Context) error { return a.data.Receive(ctx, a.rings.fromBalancers) })
-	a.group.Add("receive from the upstream", func(ctx context.Context) error { return a.upstream.Receive(ctx, a.rings.fromUpstream) })
+	a.group.Add("receive from balancers", func(ctx context.Context) error { return a.data.ReceiveBatches(ctx, a.rings.fromBalancers) })
+	a.group.Add("receive from the upstream", func(ctx context.Context) error { return a.upstream.ReceiveBatches(ctx, a.rings.fromUpstream) })
 	a.group.Add("decide", d.run)
-	a.group.Add("send", func(ctx context.Context) error { return a.data.SendAll(ctx, a.rings.out) })
-	a.group.Add("deliver", func(ctx context.Context) error { return a.upstream.SendAll(ctx, a.rings.toUpstream) })
+	a.group.Add("send", func(ctx context.Context) error { return a.data.SendBatches(ctx, a.rings.out) })
+	a.group.Add("deliver", func(ctx context.Context) error { return a.upstream.SendBatches(ctx, a.rings.toUpstream) })
 	a.group.Add("readiness", a.ready.serve)
 	if a.exporter != nil {
 		a.group.Add("ring drops", a.ringDrops().Run)
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -20,10 +20,12 @@
 	"hickoryworks/schema/hickorysettings"
 )
 
-// Ring capacities hold about 100 ms of packets at 10,000 packets a second.
 const (
-	receiveCapacity = 1024
-	sendCapacity    = 1024
+	// receiveCapacity is small, since a packet that waits for 200 ms is sent
+	// again by its caller: a slow process would work on old packets only.
+	receiveCapacity = 256
+	// sendCapacity holds the frames of one burst of searches.
+	sendCapacity = 1024
 )
 
 // Balancer sends the packets of callers to agents.
@@ -88,8 +90,8 @@
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		calls:       hickoryrpc.NewClient(),
 		rings: balancerRings{
-			fromCallers: hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropNewest),
-			fromAgents:  hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropNewest),
+			fromCallers: hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropOldest),
+			fromAgents:  hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropOldest),
 			toCallers:   hickoryring.NewFrameRing(sendCapacity, hickoryring.DropNewest),
 			toAgents:    hickoryring.NewFrameRing(sendCapacity, hickoryring.DropNewest),
 			views:       hickoryring.NewDirectoryRing(),
@@ -106,10 +108,14 @@
 
 func (b *Balancer) open() error {
 	var err error
-	if b.callers, err = openSocket(b.settings.DataEndpoint); err != nil {
+	if b.exporter, b.scope, err = openMetrics(b.settings.MetricsEndpoint, b.settings.Instance); err != nil {
 		return err
 	}
-	if b.agents, err = openSocket(b.settings.AgentEndpoint); err != nil {
+	failures := &socketErrors{recorder: newRecorder(b.scope, b.logger)}
+	if b.callers, err = openSocket(b.settings.DataEndpoint, failures.add); err != nil {
+		return err
+	}
+	if b.agents, err = openSocket(b.settings.AgentEndpoint, failures.add); err != nil {
 		return err
 	}
 	if b.control, err = hickoryrpc.Listen(b.settings.ControlEndpoint); err != nil {
@@ -121,8 +127,7 @@
 	if b.ready, err = listenReadiness(b.settings.ReadyEndpoint, b.translation.Readiness(b.Ready)); err != nil {
 		return err
 	}
-	b.exporter, b.scope, err = openMetrics(b.settings.MetricsEndpoint, b.settings.Instance)
-	return err
+	return nil
 }
 
 // Ready reports whether the fabric should send packets.
@@ -137,11 +142,11 @@
 	decider := b.newDecider(follower.confirmed)
 	keeper := b.newKeeper()
 	asker := &asker{client: b.calls, asks: b.rings.asks, states: b.rings.states, logger: b.logger}
-	b.group.Add("receive from callers", func(ctx context.Context) error { return b.callers.Receive(ctx, b.rings.fromCallers) })
-	b.group.Add("receive from agents", func(ctx context.Context) error { return b.agents.Receive(ctx, b.rings.fromAgents) })
+	b.group.Add("receive from callers", func(ctx context.Context) error { return b.callers.ReceiveBatches(ctx, b.rings.fromCallers) })
+	b.group.Add("receive from agents", func(ctx context.Context) error { return b.agents.ReceiveBatches(ctx, b.rings.fromAgents) })
 	b.group.Add("decide", decider.run)
-	b.group.Add("send to agents", func(ctx context.Context) error { return b.agents.SendAll(ctx, b.rings.toAgents) })
-	b.group.Add("send to callers", func(ctx context.Context) error { return b.callers.SendAll(ctx, b.rings.toCallers) })
+	b.group.Add("send to agents", func(ctx context.Context) error { return b.agents.SendBatches(ctx, b.rings.toAgents) })
+	b.group.Add("send to callers", func(ctx context.Context) error { return b.callers.SendBatches(ctx, b.rings.toCallers) })
 	b.group.Add("follow the store", follower.run)
 	b.group.Add("keep the directory", keeper.run)
 	b.group.Add("ask balancers", asker.run)
--- a/io/hickoryfabric/parts.go
+++ b/io/hickoryfabric/parts.go
@@ -1,20 +1,43 @@
 package hickoryfabric
 
 import (
+	"sync"
+
 	"github.com/uber-go/tally/v4"
 
 	"hickoryworks/core/hickorymodel"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickorymetric"
 	"hickoryworks/io/hickorysocket"
+	"hickoryworks/schema/hickoryevent"
 	"hickoryworks/schema/hickoryid"
 )
 
-func openSocket(endpoint hickoryid.Endpoint) (*hickorysocket.Socket, error) {
+// openSocket opens a data socket whose errors are counted and, within the
+// limits of a recorder, logged.
+func openSocket(endpoint hickoryid.Endpoint, failed func(error)) (*hickorysocket.Socket, error) {
 	parsed, err := hickorymodel.ParseEndpoint(endpoint)
 	if err != nil {
 		return nil, err
 	}
-	return hickorysocket.Open(parsed)
+	return hickorysocket.Open(parsed, hickorysocket.WithSendFailed(failed), hickorysocket.WithReceiveFailed(failed))
+}
+
+// socketErrors counts the errors of sockets and logs some of them. Several
+// duties use it.
+type socketErrors struct {
+	mutex    sync.Mutex
+	recorder *recorder
+}
+
+// add takes one error. A peer that is down lets the system report that its port
+// is closed, so errors may be as many as packets.
+func (e *socketErrors) add(err error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.recorder.count(stepSocketFailed, hickorysteering.ReasonNone)
+	e.recorder.log(hickoryevent.SocketFailed, func() hickorylog.Fields { return hickorylog.Fields{"error": err.Error()} })
 }
 
 // openMetrics opens the page of the metrics, if the settings name one.
--- a/io/hickoryfabric/recorder.go
+++ b/io/hickoryfabric/recorder.go
@@ -22,6 +22,9 @@
 // stepRejected counts bytes that are no packet or frame.
 const stepRejected hickorysteering.Step = "rejected"
 
+// stepSocketFailed counts errors of sockets.
+const stepSocketFailed hickorysteering.Step = "socketFailed"
+
 // stepEvents has the log event of each step.
 var stepEvents = map[hickorysteering.Step]hickoryevent.Event{
 	hickorysteering.StepOpened:         hickoryevent.FlowOpened,
--- a/io/hickorysocket/socket.go
+++ b/io/hickorysocket/socket.go
@@ -27,6 +27,8 @@
 	endpoint hickorymodel.Endpoint
 	// sendFailed is called for each frame that the system did not take.
 	sendFailed func(error)
+	// receiveFailed is called for each read that failed while the socket is open.
+	receiveFailed func(error)
 	// carry takes each frame that leaves; it calls write, which is the same
 	// function for the life of the socket so that a packet allocates nothing.
 	carry    Carrier
@@ -62,6 +64,13 @@
 	}
 }
 
+// WithReceiveFailed sets the function that is told of reads that failed.
+func WithReceiveFailed(receiveFailed func(error)) Option {
+	return func(s *Socket) {
+		s.receiveFailed = receiveFailed
+	}
+}
+
 // WithCarrier sets the function that takes the frames that leave the socket. A
 // nil carrier changes nothing.
 func WithCarrier(carry Carrier) Option {
@@ -89,11 +98,12 @@
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
 	s := &Socket{
-		conn:       conn,
-		endpoint:   bound,
-		sendFailed: func(error) {},
-		carry:      writeAtOnce,
-		tried:      pathMap{},
+		conn:          conn,
+		endpoint:      bound,
+		sendFailed:    func(error) {},
+		receiveFailed: func(error) {},
+		carry:         writeAtOnce,
+		tried:         pathMap{},
 	}
 	s.kept.Store(&pathMap{})
 	s.write = s.writeFrame
--- a/schema/hickoryevent/event_generated.go
+++ b/schema/hickoryevent/event_generated.go
@@ -111,6 +111,8 @@
 	RequestDelivered = Event{Number: 1512, Name: "RequestDelivered", Level: "info", Text: "request delivered to the upstream"}
 	// PacketRejected: Bytes that are no packet of the fabric, or a frame of another version.
 	PacketRejected = Event{Number: 1513, Name: "PacketRejected", Level: "warn", Text: "packet or frame rejected"}
+	// SocketFailed: The system reported an error of a socket, such as a closed port of a peer.
+	SocketFailed = Event{Number: 1514, Name: "SocketFailed", Level: "warn", Text: "datagram not sent or received"}
 	// AgentSilent: Packets were sent to the agent and no frame of it has arrived for the time given in docs/platform.md.
 	AgentSilent = Event{Number: 1520, Name: "AgentSilent", Level: "warn", Text: "agent does not answer"}
 	// AgentHeard: A frame of the agent arrived.
