End searches with the first answer of the owner

An agent told who owns a flow only when its upstream sent a packet, which follows a request by its work time and a bare acknowledgement never. Until then each packet of the flow went to all agents asked, up to 52, and the notices were lost among the packets that came back.

Change: an agent that knows an open flow tells so with the packet. One that has just started presumes after 50 ms that the upstream holds what it has not returned; a presumed owner is asked first and proves nothing. While a search runs, its agents are asked again only 150 ms after they were asked last, and the newest packet follows to the owner. Agents report every 400 ms to balancers that send them new flows and every 4 s to others (64 agents told 25 balancers about 128 times a second each).

--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -14,16 +14,22 @@
 	maxAgentFlows = 1 << 14
 	// endedFlowLife is how long a flow that has ended stays in an agent's cache.
 	endedFlowLife = 3 * time.Second
+	// returnTime is how long an upstream takes at most to return a packet whose
+	// flow it does not hold.
+	returnTime = 50 * time.Millisecond
+	// waitingLife is how long a sign of life of the upstream is waited for.
+	waitingLife = 2 * time.Second
 	// lossTime is how recently a lost flow must have been used to show that the
 	// upstream has restarted.
 	lossTime = 5 * time.Second
 	// agentFlowLife is how long an idle flow stays in an agent's cache.
 	agentFlowLife = 60 * time.Second
-	// reportInterval is the time between two reports to a balancer that sends.
+	// reportInterval is the time between two reports to a balancer that sends
+	// new flows, which chooses by load.
 	reportInterval = 400 * time.Millisecond
 	// idleReportInterval is the time between two reports to one that does not.
-	idleReportInterval = 2 * time.Second
-	// activeTime is how long a balancer counts as one that sends.
+	idleReportInterval = 4 * time.Second
+	// activeTime is how long a balancer counts as one that sends new flows.
 	activeTime = 3 * time.Second
 	// balancerLife is how long an agent reports to a balancer it does not hear.
 	balancerLife = 30 * time.Second
@@ -48,6 +54,9 @@
 	seenAt        hickorymodel.Instant
 	// upstreamAt is when the upstream last sent a packet; 0 for never.
 	upstreamAt hickorymodel.Instant
+	// waitingSince is when the first packet was delivered of which it is not
+	// known whether the upstream holds its flow; 0 for none.
+	waitingSince hickorymodel.Instant
 	// askedAt is when the oldest unanswered request was delivered.
 	askedAt hickorymodel.Instant
 }
@@ -59,7 +68,9 @@
 
 // balancerRecord is what an agent knows of one balancer.
 type balancerRecord struct {
-	heardAt    hickorymodel.Instant
+	heardAt hickorymodel.Instant
+	// openedAt is when it last sent a new flow; 0 for never.
+	openedAt   hickorymodel.Instant
 	reportedAt hickorymodel.Instant
 }
 
@@ -74,12 +85,16 @@
 
 	gate gate
 	// flows has at most maxAgentFlows entries; busy of them are busy.
-	flows     map[hickorymodel.FlowKey]*agentFlow
-	busy      int
-	balancers map[hickorymodel.Endpoint]*balancerRecord
-	stopping  bool
-	sweptAt   hickorymodel.Instant
-	actions   []Action
+	flows map[hickorymodel.FlowKey]*agentFlow
+	busy  int
+	// waiting are the flows with waitingSince, and some that have lost it.
+	waiting []hickorymodel.FlowKey
+	// upstreamAt is when the upstream last sent anything; 0 for never.
+	upstreamAt hickorymodel.Instant
+	balancers  map[hickorymodel.Endpoint]*balancerRecord
+	stopping   bool
+	sweptAt    hickorymodel.Instant
+	actions    []Action
 }
 
 // AgentOption changes an agent at construction.
@@ -121,6 +136,7 @@
 	case KindHello:
 		a.report(now, from, balancer)
 	case KindOpen:
+		balancer.openedAt = now
 		a.open(now, from, header, p)
 	case KindData:
 		a.deliver(now, from, p)
@@ -172,10 +188,53 @@
 			f.askedAt = now
 			a.setBusy(f, true)
 		}
+		a.hand(from, p)
+		if f.open() {
+			a.tell(p.Flow, f, ReasonOpen)
+		} else if f.stage < stageOpen && f.waitingSince == 0 {
+			f.waitingSince = now
+			a.waiting = append(a.waiting, p.Flow)
+		}
+		return
 	}
 	a.hand(from, p)
 }
 
+// tell tells the balancer of a flow who owns it, unless it was told before.
+func (a *Agent) tell(key hickorymodel.FlowKey, f *agentFlow, reason Reason) {
+	if f.told == f.balancer || f.balancer.IsZero() {
+		return
+	}
+	f.told = f.balancer
+	notice := frame(f.balancer, KindNotice, reason, nil)
+	notice.Verb = VerbNotice
+	notice.Flow = key
+	a.actions = append(a.actions, notice)
+}
+
+// concludeWaiting presumes that flows are held which the upstream has not
+// returned, if it has sent anything since: it returns packets at once.
+func (a *Agent) concludeWaiting(now hickorymodel.Instant) {
+	left := a.waiting[:0]
+	for _, key := range a.waiting {
+		f, ok := a.flows[key]
+		if !ok || f.waitingSince == 0 {
+			continue
+		}
+		waited := now.Sub(f.waitingSince)
+		if waited < returnTime || (a.upstreamAt < f.waitingSince && waited < waitingLife) {
+			left = append(left, key)
+			continue
+		}
+		alive := a.upstreamAt > f.waitingSince
+		f.waitingSince = 0
+		if alive {
+			a.tell(key, f, ReasonPresumed)
+		}
+	}
+	a.waiting = left
+}
+
 // hand delivers a packet with the balancer's address as its mark, so that a
 // returned packet tells by itself where it came from.
 func (a *Agent) hand(from hickorymodel.Endpoint, p *Packet) {
@@ -194,6 +253,7 @@
 // HandleUpstream decides on a packet that the upstream has sent.
 func (a *Agent) HandleUpstream(now hickorymodel.Instant, p *Packet) []Action {
 	a.actions = a.actions[:0]
+	a.upstreamAt = now
 	if a.gate.answered(now) {
 		a.decided(&Decision{Step: StepUpstreamHeard})
 		a.reportAll(now)
@@ -269,15 +329,14 @@
 	if p.Answer {
 		reached = stageAnswered
 	}
-	news := f.told != f.balancer || f.stage < reached
-	f.stage = max(f.stage, reached)
-	if news && !f.balancer.IsZero() {
-		f.told = f.balancer
-		notice := frame(f.balancer, KindNotice, reason, nil)
-		notice.Verb = VerbNotice
-		notice.Flow = key
-		a.actions = append(a.actions, notice)
+	if f.stage < reached {
+		f.stage = reached
+		f.told = hickorymodel.Endpoint{} // there is news to tell
+	}
+	if reached == stageOpen {
+		f.waitingSince = 0
 	}
+	a.tell(key, f, reason)
 }
 
 func (a *Agent) flow(now hickorymodel.Instant, key hickorymodel.FlowKey) *agentFlow {
--- a/core/hickorysteering/agent_report.go
+++ b/core/hickorysteering/agent_report.go
@@ -10,21 +10,21 @@
 // Tick does what is due.
 func (a *Agent) Tick(now hickorymodel.Instant) []Action {
 	a.actions = a.actions[:0]
+	a.concludeWaiting(now)
 	if a.gate.tick(now) {
 		a.decided(&Decision{Step: StepUpstreamSilent, Count: a.gate.unanswered})
 		a.reportAll(now)
 	}
 	interval := max(reportInterval, time.Second*time.Duration(len(a.balancers))/maxReportRate)
 	for endpoint, balancer := range a.balancers {
-		quiet := now.Sub(balancer.heardAt)
-		due := interval
-		if quiet > activeTime {
-			due = max(interval, idleReportInterval)
-		}
-		if quiet > balancerLife {
+		if now.Sub(balancer.heardAt) > balancerLife {
 			delete(a.balancers, endpoint)
 			continue
 		}
+		due := max(interval, idleReportInterval)
+		if balancer.openedAt != 0 && now.Sub(balancer.openedAt) < activeTime {
+			due = interval
+		}
 		if balancer.reportedAt == 0 || now.Sub(balancer.reportedAt) >= due {
 			a.report(now, endpoint, balancer)
 		}
--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -114,25 +114,34 @@
 }
 
 // HandleNotice takes the owner of a flow.
-func (b *Balancer) HandleNotice(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, key hickorymodel.FlowKey) {
+func (b *Balancer) HandleNotice(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, key hickorymodel.FlowKey) []Action {
+	b.actions = b.actions[:0]
 	b.heard(now, from)
 	f := b.flow(now, key)
 	if f == nil {
-		return
+		return nil
 	}
-	if reason != ReasonOpen {
-		if f.stage == stageOpening {
-			f.owner = from
-			f.stage = stageAnswered
-		}
-		return
+	switch {
+	case reason == ReasonOpen:
+		f.owner = from
+		f.stage = stageOpen
+	case f.stage == stageOpening:
+		f.owner = from
+		f.stage = stageAnswered
+	default:
+		return nil
+	}
+	if reason == ReasonAnswered {
+		return nil
 	}
-	f.owner = from
-	f.stage = stageOpen
 	if s, ok := b.searches[key]; ok {
 		b.endSearch(key, s)
 		b.decide(&Decision{Step: StepFound, Flow: key, Peer: from, Reason: reason, Count: s.asked})
+		if s.fresh {
+			b.send(now, s.packet.Bytes, b.peer(from))
+		}
 	}
+	return b.actions
 }
 
 // heard notes a sign of life of an agent.
--- a/core/hickorysteering/frame.go
+++ b/core/hickorysteering/frame.go
@@ -47,6 +47,9 @@
 	ReasonAnswered
 	// ReasonOpen marks a notice: the upstream holds the open flow.
 	ReasonOpen
+	// ReasonPresumed marks a notice: the upstream has not returned a packet of
+	// the flow. The packet may have been lost, so this is no proof.
+	ReasonPresumed
 )
 
 var reasonNames = map[Reason]string{
@@ -60,6 +63,7 @@
 	ReasonSilent:       "silent",
 	ReasonAnswered:     "answered",
 	ReasonOpen:         "open",
+	ReasonPresumed:     "presumed",
 }
 
 // String returns the name for logs and metrics.
--- a/core/hickorysteering/pass.go
+++ b/core/hickorysteering/pass.go
@@ -41,6 +41,7 @@
 	}
 	if known && f.owner == from {
 		f.owner = hickorymodel.Endpoint{}
+		f.stage = stageOpening
 	}
 	if known && !f.owner.IsZero() {
 		b.send(now, p.Bytes, b.peer(f.owner))
--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -12,8 +12,9 @@
 	// silenceLimit is how long an agent may leave packets without any sign of
 	// life before it gets no new flows: two reports and some delay.
 	silenceLimit = 1200 * time.Millisecond
-	// reportLife is how long a report counts.
-	reportLife = 5 * time.Second
+	// reportLife is how long a report counts: two of those to a balancer that
+	// sends no new flows, and some delay.
+	reportLife = 10 * time.Second
 	// addressLife is how long the addresses of a report count: the longest life
 	// of a flow, and some delay.
 	addressLife = 75 * time.Second
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -12,8 +12,8 @@
 	searchLife = 3 * time.Second
 	// roundTime is how long the agents of one round are asked alone.
 	roundTime = 20 * time.Millisecond
-	// repeatTime tells a repeated packet, which the caller sends after 200 ms,
-	// from the next one of the same burst.
+	// repeatTime is the shortest time between two packets of a flow that agents
+	// are asked with. Callers repeat packets after 200 ms.
 	repeatTime = 150 * time.Millisecond
 	// maxSearches bounds the searches that run at one time.
 	maxSearches = 1 << 14
@@ -32,9 +32,13 @@
 	seen []hickorymodel.Endpoint
 	// exhausted is true once all agents have sent the packet back.
 	exhausted bool
-	// packet is the newest packet of the flow.
+	// packet is the newest packet of the flow; fresh is true if no agent of
+	// pending was asked with it.
 	packet Packet
-	asked  int
+	fresh  bool
+	// askedAt is when agents were last asked, asked how often.
+	askedAt hickorymodel.Instant
+	asked   int
 }
 
 // search sends a packet of an unknown flow to the agents that may hold it.
@@ -42,13 +46,10 @@
 	s, running := b.searches[p.Flow]
 	if running {
 		s.packet = *p
-		b.ask(now, s, s.pending)
-		if now.Sub(s.startedAt) > repeatTime {
-			for len(s.rounds) > 0 {
-				b.widen(now, s)
-			}
+		s.fresh = true
+		if now.Sub(s.askedAt) > repeatTime {
+			b.repeat(now, s)
 		}
-		b.askNew(now, s)
 		return
 	}
 	if len(b.searches) >= maxSearches {
@@ -67,7 +68,18 @@
 	b.widen(now, s)
 }
 
+// repeat asks everyone who has not answered, since packets may be lost.
+func (b *Balancer) repeat(now hickorymodel.Instant, s *search) {
+	b.ask(now, s, s.pending)
+	for len(s.rounds) > 0 {
+		b.widen(now, s)
+	}
+	b.askNew(now, s)
+	s.fresh = false
+}
+
 func (b *Balancer) ask(now hickorymodel.Instant, s *search, agents []hickorymodel.Endpoint) {
+	s.askedAt = now
 	for _, endpoint := range agents {
 		s.asked++
 		b.send(now, s.packet.Bytes, b.peer(endpoint))
--- a/io/hickoryfabric/balancer_decider.go
+++ b/io/hickoryfabric/balancer_decider.go
@@ -124,7 +124,7 @@
 	case hickorysteering.KindReport:
 		d.steering.HandleReport(now, frame.Peer, &d.frame.header, &d.frame.report, d.frame.addresses)
 	case hickorysteering.KindNotice:
-		d.steering.HandleNotice(now, frame.Peer, reason, hickorysteering.FlowOf(d.frame.notice))
+		d.perform(ctx, d.steering.HandleNotice(now, frame.Peer, reason, hickorysteering.FlowOf(d.frame.notice)))
 	case hickorysteering.KindReturn:
 		var packet hickorysteering.Packet
 		if err := d.translation.DecodePacket(d.frame.payload, &packet); err != nil {
