--- a/io/hickoryfabric/agent_decider.go
+++ b/io/hickoryfabric/agent_decider.go
@@ -90,10 +90,9 @@
 		return
 	}
 	d.recorder.log(hickoryevent.RequestDelivered, func() hickorylog.Fields {
-		return hickorylog.Fields{
-			"request": id, "flow": packet.Flow.Source.String() + ">" + packet.Flow.Destination.String(),
-			"busy": d.steering.Busy(),
-		}
+		fields := hickorylog.Fields{"request": id, "busy": d.steering.Busy()}
+		addFlow(fields, packet.Flow)
+		return fields
 	})
 }
 
--- a/io/hickoryfabric/recorder.go
+++ b/io/hickoryfabric/recorder.go
@@ -114,7 +114,7 @@
 func decisionFields(d *hickorysteering.Decision) hickorylog.Fields {
 	fields := hickorylog.Fields{}
 	if d.Flow.Source.Port != 0 {
-		fields["flow"] = d.Flow.Source.String() + ">" + d.Flow.Destination.String()
+		addFlow(fields, d.Flow)
 		fields["copy"] = d.Copy
 	}
 	if !d.Peer.IsZero() {
@@ -144,3 +144,9 @@
 		return hickorylog.Fields{"peer": peer.String(), "error": err.Error()}
 	})
 }
+
+// addFlow names a flow by its two ends.
+func addFlow(fields hickorylog.Fields, flow hickorymodel.FlowKey) {
+	fields["caller"] = flow.Source.String()
+	fields["address"] = flow.Destination.String()
+}
