Refuse no first packet that has waited

Its log: balancer-11 was stopped by a signal for 2.1 s while copies 1 and 2 of a first packet waited in its socket; the flow opened through balancer-12; when balancer-11 ran again it sent copy 1 to an upstream and refused copy 2 within 0.3 ms, as all upstreams had been tried.

Change: a first packet is refused only if this balancer handled an earlier copy 350 ms before or more, and never within 300 ms after a pause of the process. Unrouted packets and searches wait for the same time after a pause. The pause is seen on the clock that also counts suspensions. Searches repeat after 550 ms and live 10 s, since each repeat of a dead flow asked up to 52 agents; a log event is written 40 times a second at most.

Ruled out: a fault of the soak's caller (it had sent its acknowledgement 185 ms before).

Conclusion: refusals are rarer and come from balancers that have seen a flow from its first packet; callers of the others wait for the end of their attempt.

--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -24,6 +24,8 @@
 	TickInterval = 100 * time.Millisecond
 	// SearchTickInterval is that time while searches run.
 	SearchTickInterval = 10 * time.Millisecond
+	// staleTime is how long it takes after a pause to read what has waited.
+	staleTime = 300 * time.Millisecond
 	// sweepInterval is the time between two removals of old flows.
 	sweepInterval = time.Second
 )
@@ -49,7 +51,10 @@
 	// widening counts the searches that have agents left to ask.
 	widening int
 	sweptAt  hickorymodel.Instant
-	actions  []Action
+	// staleUntil is until when waiting packets and the view may be old, because
+	// the process did not run.
+	staleUntil hickorymodel.Instant
+	actions    []Action
 }
 
 // NewBalancer returns a balancer that knows nothing yet. Decided is called with
@@ -94,6 +99,13 @@
 	return b.actions
 }
 
+// Resumed notes that the process has not run for a time. Packets that waited may
+// belong to flows that have opened through other balancers since.
+func (b *Balancer) Resumed(now hickorymodel.Instant) {
+	b.staleUntil = now.Add(staleTime)
+	b.decide(&Decision{Step: StepResumed})
+}
+
 // agentOf returns the agent beside an upstream.
 func (b *Balancer) agentOf(upstream hickorymodel.Endpoint) hickorymodel.Endpoint {
 	return hickorymodel.Endpoint{Address: upstream.Address, Port: b.agentPort}
--- a/core/hickorysteering/decision.go
+++ b/core/hickorysteering/decision.go
@@ -32,6 +32,8 @@
 	StepUnknown Step = "unknown"
 	// StepReturned sends a packet back to its balancer.
 	StepReturned Step = "returned"
+	// StepResumed begins a time without refusals after a pause of the process.
+	StepResumed Step = "resumed"
 	// StepAgentSilent and StepAgentHeard change what is believed of an agent.
 	StepAgentSilent Step = "agentSilent"
 	StepAgentHeard  Step = "agentHeard"
--- a/core/hickorysteering/flow.go
+++ b/core/hickorysteering/flow.go
@@ -52,6 +52,8 @@
 	sequence uint32
 	// copies is the highest number of a copy that was sent on.
 	copies uint32
-	tried  triedList
-	seenAt hickorymodel.Instant
+	// firstAt is when the first packet or its first copy was handled here.
+	firstAt hickorymodel.Instant
+	tried   triedList
+	seenAt  hickorymodel.Instant
 }
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -1,12 +1,19 @@
 package hickorysteering
 
 import (
+	"time"
+
 	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/core/hickorymodel"
 )
 
-// lastCopy is the number of the last copy that callers send of a first packet.
-const lastCopy = 2
+const (
+	// lastCopy is the number of the last copy that callers send of a first packet.
+	lastCopy = 2
+	// copyTime is below the 400 ms between the last two copies. Copies that are
+	// handled in shorter order have waited, and the flow may have opened since.
+	copyTime = 350 * time.Millisecond
+)
 
 // Handle decides on a packet of a caller.
 func (b *Balancer) Handle(now hickorymodel.Instant, p *Packet) []Action {
@@ -33,14 +40,14 @@
 	}
 	route := b.view.Routes[p.Flow.Destination]
 	if route == nil {
-		b.refuseUnrouted(p)
+		b.refuseUnrouted(now, p)
 		return
 	}
 	if !known || f.sequence != p.Sequence {
 		if f = b.flow(now, p.Flow); f == nil {
 			f = &flow{}
 		}
-		*f = flow{sequence: p.Sequence, seenAt: now}
+		*f = flow{sequence: p.Sequence, seenAt: now, firstAt: now}
 	}
 	f.copies = p.Copy
 	b.place(now, p, route, f, StepOpened)
@@ -48,9 +55,9 @@
 
 // refuseUnrouted answers a first packet for an address without a route. A
 // balancer that does not know the configuration yet leaves it unanswered.
-func (b *Balancer) refuseUnrouted(p *Packet) {
+func (b *Balancer) refuseUnrouted(now hickorymodel.Instant, p *Packet) {
 	b.decide(&Decision{Step: StepNoRoute, Flow: p.Flow, Copy: p.Copy})
-	if b.view.Known {
+	if b.view.Known && !now.Before(b.staleUntil) {
 		b.reset(p)
 	}
 }
@@ -59,12 +66,12 @@
 func (b *Balancer) place(now hickorymodel.Instant, p *Packet, route *hickorydirectory.Route, f *flow, step Step) {
 	service, ok := target(route, p.Flow)
 	if !ok || f.tried.full() {
-		b.giveUp(p, ReasonNone)
+		b.giveUp(now, p, f, ReasonNone)
 		return
 	}
 	chosen, load := b.choose(now, p.Flow, service, &f.tried)
 	if chosen == nil {
-		b.giveUp(p, ReasonNone)
+		b.giveUp(now, p, f, ReasonNone)
 		return
 	}
 	if f.tried.count > 0 {
@@ -96,13 +103,11 @@
 
 // giveUp ends an attempt that no upstream takes. The caller is refused at once
 // with its last copy; before that, the next copy may still be taken.
-func (b *Balancer) giveUp(p *Packet, reason Reason) {
-	f := b.flows[p.Flow]
-	if f != nil {
-		f.tried = triedList{}
-		f.owner = hickorymodel.Endpoint{}
-	}
-	if p.Copy < lastCopy {
+func (b *Balancer) giveUp(now hickorymodel.Instant, p *Packet, f *flow, reason Reason) {
+	f.tried = triedList{}
+	f.owner = hickorymodel.Endpoint{}
+	late := now.Before(b.staleUntil) || now.Sub(f.firstAt) < copyTime
+	if p.Copy < lastCopy || late {
 		b.decide(&Decision{Step: StepWaited, Flow: p.Flow, Copy: p.Copy, Reason: reason})
 		return
 	}
@@ -122,7 +127,7 @@
 	}
 	route := b.view.Routes[p.Flow.Destination]
 	if route == nil {
-		b.refuseUnrouted(p)
+		b.refuseUnrouted(now, p)
 		return
 	}
 	if !known {
@@ -131,6 +136,7 @@
 		}
 		f.sequence = p.Sequence
 		f.copies = p.Copy
+		f.firstAt = now
 	}
 	f.tried.add(from)
 	if service, ok := target(route, p.Flow); ok && !f.tried.full() {
@@ -139,5 +145,5 @@
 			return
 		}
 	}
-	b.giveUp(p, reason)
+	b.giveUp(now, p, f, reason)
 }
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -9,12 +9,13 @@
 
 const (
 	// searchLife bounds a search; a later packet of the flow starts a new one.
-	searchLife = 3 * time.Second
+	searchLife = 10 * time.Second
 	// roundTime is how long the agents of one round are asked alone.
 	roundTime = 20 * time.Millisecond
 	// repeatTime is the shortest time between two packets of a flow that agents
-	// are asked with. Callers repeat packets after 200 ms.
-	repeatTime = 150 * time.Millisecond
+	// are asked with. It is longer than the first repeat of a caller, since the
+	// answers to a busy balancer may take as long.
+	repeatTime = 550 * time.Millisecond
 	// maxSearches bounds the searches that run at one time.
 	maxSearches = 1 << 14
 )
@@ -147,7 +148,7 @@
 func (b *Balancer) conclude(now hickorymodel.Instant, s *search) {
 	b.askNew(now, s)
 	complete := s.startedAt.Add(-settleTime).Before(b.confirmed(now))
-	if !s.exhausted || !complete || !b.knowsHolders(now) {
+	if !s.exhausted || !complete || now.Before(b.staleUntil) || !b.knowsHolders(now) {
 		return
 	}
 	b.lose(hickorymodel.Endpoint{}, ReasonNotHeld, &s.packet)
--- a/io/hickoryclock/clock.go
+++ b/io/hickoryclock/clock.go
@@ -4,6 +4,8 @@
 import (
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hickoryworks/core/hickorymodel"
 )
 
@@ -23,6 +25,16 @@
 	return hickorymodel.Instant(time.Since(c.origin) + time.Nanosecond)
 }
 
+// Boot returns the time since the machine started, which also counts while the
+// machine is suspended.
+func Boot() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return 0 // every Linux kernel of ours has the clock
+	}
+	return time.Duration(now.Nano())
+}
+
 // Uptime returns the time since the start of the clock.
 func (c *Clock) Uptime() time.Duration {
 	return time.Since(c.origin)
--- a/io/hickoryfabric/balancer_decider.go
+++ b/io/hickoryfabric/balancer_decider.go
@@ -16,6 +16,10 @@
 	"hickoryworks/schema/hickoryevent"
 )
 
+// pauseLimit is the longest time between two turns of the loop of a process that
+// runs: a tick, and the delay of a small share of a processor.
+const pauseLimit = 300 * time.Millisecond
+
 // balancerDecider turns datagrams into events of the steering and its actions
 // into datagrams. One goroutine uses it.
 type balancerDecider struct {
@@ -32,6 +36,8 @@
 	// port is the port of callers.
 	port uint16
 
+	// ranAt is when an event was last handled, by the clock that counts suspensions.
+	ranAt time.Duration
 	// known is true once a whole view is in force.
 	known bool
 	frame decodedFrame
@@ -69,6 +75,15 @@
 	}
 }
 
+// checkPause tells the steering when the process has not run for a time.
+func (d *balancerDecider) checkPause() {
+	now := hickoryclock.Boot()
+	if d.ranAt != 0 && now-d.ranAt > pauseLimit {
+		d.steering.Resumed(d.clock.Now())
+	}
+	d.ranAt = now
+}
+
 func tickTime(searching bool) time.Duration {
 	if searching {
 		return hickorysteering.SearchTickInterval
@@ -77,12 +92,14 @@
 }
 
 func (d *balancerDecider) setView(ctx context.Context, view *hickorydirectory.View) {
+	d.checkPause()
 	d.known = view.Known
 	d.perform(ctx, d.steering.SetView(d.clock.Now(), view))
 	d.updateServing()
 }
 
 func (d *balancerDecider) tick(ctx context.Context) {
+	d.checkPause()
 	d.perform(ctx, d.steering.Tick(d.clock.Now()))
 	d.flows.Update(float64(d.steering.Flows()))
 	d.updateServing()
@@ -104,6 +121,7 @@
 }
 
 func (d *balancerDecider) handlePacket(ctx context.Context, frame hickoryring.Frame) {
+	d.checkPause()
 	d.packets.Add(1)
 	var packet hickorysteering.Packet
 	if err := d.translation.DecodePacket(frame.Bytes, &packet); err != nil {
@@ -114,6 +132,7 @@
 }
 
 func (d *balancerDecider) handleFrame(ctx context.Context, frame hickoryring.Frame) {
+	d.checkPause()
 	if err := decodeFrame(frame.Bytes, &d.frame); err != nil {
 		d.reject(frame.Peer, err)
 		return
--- a/io/hickoryfabric/recorder.go
+++ b/io/hickoryfabric/recorder.go
@@ -15,8 +15,8 @@
 const (
 	// lineRate and lineBurst bound the log lines of each kind of decision, in
 	// lines a second.
-	lineRate  = 100
-	lineBurst = 200
+	lineRate  = 40
+	lineBurst = 100
 )
 
 // stepRejected counts bytes that are no packet or frame.
@@ -38,6 +38,7 @@
 	hickorysteering.StepLost:           hickoryevent.FlowLost,
 	hickorysteering.StepUnknown:        hickoryevent.FlowUnknown,
 	hickorysteering.StepReturned:       hickoryevent.PacketReturned,
+	hickorysteering.StepResumed:        hickoryevent.ProcessPaused,
 	hickorysteering.StepAgentSilent:    hickoryevent.AgentSilent,
 	hickorysteering.StepAgentHeard:     hickoryevent.AgentHeard,
 	hickorysteering.StepUpstreamSilent: hickoryevent.UpstreamSilent,
