--- /dev/null
+++ b/core/hickorysteering/size_bench_test.go
@@ -0,0 +1,106 @@
+package hickorysteering_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/schema/hickoryframe"
+	"hickoryworks/schema/hickoryid"
+)
+
+// targetView has the hosts, addresses and zones of the target: 14,000 upstreams
+// of 2,600 services in 11 zones.
+func targetView(now hickorymodel.Instant) *hickorydirectory.View {
+	view := &hickorydirectory.View{Version: 1, Known: true, IdleTimeout: 15 * time.Second, Routes: map[hickorymodel.SocketAddress]*hickorydirectory.Route{}}
+	for i := range 2600 {
+		address := socketAddress(fmt.Sprintf("198.18.%d.%d:443", i/250, i%250))
+		hash := hickorydirectory.HashService(hickoryid.ServiceName(fmt.Sprint("s-", i)))
+		view.Routes[address] = &hickorydirectory.Route{WeightSum: 1, Targets: []hickorydirectory.Target{{Service: hash, Weight: 1}}}
+	}
+	for i := range 14000 {
+		view.Upstreams = append(view.Upstreams, hickorydirectory.Upstream{
+			ID:      hickoryid.UpstreamID(fmt.Sprint("u-", i)),
+			Service: hickorydirectory.HashService(hickoryid.ServiceName(fmt.Sprint("s-", i%2600))),
+			Zone:    hickoryid.ZoneName([]string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"}[i%11]),
+			Endpoint: hickorymodel.Endpoint{
+				Address: [4]byte{10, byte(i >> 8), byte(i), 1}, Port: 8000,
+			},
+			Slots: 6, Accepting: true,
+		})
+	}
+	return view
+}
+
+func targetBalancer(now hickorymodel.Instant) *hickorysteering.Balancer {
+	balancer := hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)),
+		func(*hickorysteering.Decision) {}, func(now hickorymodel.Instant) hickorymodel.Instant { return now })
+	balancer.SetView(now, targetView(now))
+	return balancer
+}
+
+// BenchmarkPass is the choice for a packet of a known flow at the target's size.
+func BenchmarkPass(b *testing.B) {
+	now := start
+	balancer := targetBalancer(now)
+	packets := make([]hickorysteering.Packet, 13600) // open flows of one balancer
+	for i := range packets {
+		packets[i] = *data()
+		packets[i].Flow.Source.Port = uint16(i)
+		packets[i].Flow.Source.Address[15] = byte(i >> 12)
+		balancer.HandleNotice(now, agent(i%200), hickorysteering.ReasonOpen, packets[i].Flow)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		balancer.Handle(now, &packets[i%len(packets)])
+	}
+}
+
+// BenchmarkOpen is the choice for a first packet at the target's size.
+func BenchmarkOpen(b *testing.B) {
+	now := start
+	balancer := targetBalancer(now)
+	now = now.Add(time.Second)
+	packet := first(0)
+	packet.Flow.Destination = socketAddress("198.18.3.7:443")
+	for i := 0; b.Loop(); i++ {
+		packet.Sequence = uint32(i)
+		balancer.Handle(now, packet)
+	}
+}
+
+// BenchmarkSetView is the work of a balancer for one change at the target's size.
+func BenchmarkSetView(b *testing.B) {
+	balancer := targetBalancer(start)
+	view := targetView(start)
+	for b.Loop() {
+		balancer.SetView(start, view)
+	}
+}
+
+// BenchmarkTick is the work of a balancer ten times a second at the target's size.
+func BenchmarkTick(b *testing.B) {
+	balancer := targetBalancer(start)
+	for b.Loop() {
+		balancer.Tick(start)
+	}
+}
+
+// BenchmarkDeliver is the agent's lookup with 2,430 open flows.
+func BenchmarkDeliver(b *testing.B) {
+	agent := hickorysteering.NewAgent(start, clubroom, balancerPort, nil, func(*hickorysteering.Decision) {})
+	header := hickoryframe.Header{Kind: uint8(hickorysteering.KindData)}
+	packets := make([]hickorysteering.Packet, 2430)
+	for i := range packets {
+		packets[i] = *data()
+		packets[i].Flow.Source.Port = uint16(i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		agent.HandleFrame(start, balancer, &header, &packets[i%len(packets)])
+	}
+}
