--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -40,32 +40,6 @@
 	maxReportAddresses = 64
 )
 
-// agentFlow is an agent's cached knowledge of one flow.
-type agentFlow struct {
-	// balancer sent the last packet, told was told last who owns the flow.
-	balancer hickorymodel.Endpoint
-	told     hickorymodel.Endpoint
-	stage    stage
-	// busy is true while a request of the caller is unanswered.
-	busy bool
-	// callerEnded and upstreamEnded are set by the last packet of each side.
-	callerEnded   bool
-	upstreamEnded bool
-	seenAt        hickorymodel.Instant
-	// upstreamAt is when the upstream last sent a packet; 0 for never.
-	upstreamAt hickorymodel.Instant
-	// waitingSince is when the first packet was delivered of which it is not
-	// known whether the upstream holds its flow; 0 for none.
-	waitingSince hickorymodel.Instant
-	// askedAt is when the oldest unanswered request was delivered.
-	askedAt hickorymodel.Instant
-}
-
-// open reports whether the upstream holds the flow and neither side is done.
-func (f *agentFlow) open() bool {
-	return f.stage == stageOpen && !f.callerEnded && !f.upstreamEnded
-}
-
 // balancerRecord is what an agent knows of one balancer.
 type balancerRecord struct {
 	heardAt hickorymodel.Instant
@@ -149,33 +123,6 @@
 	return a.actions
 }
 
-// HandleQuery answers whether the upstream holds a flow. An agent that has run
-// for longer than a flow may be idle has seen every one that is not forgotten.
-func (a *Agent) HandleQuery(now hickorymodel.Instant, from hickorymodel.Endpoint, query *hickoryframe.Query) []Action {
-	a.actions = a.actions[:0]
-	a.heard(now, from)
-	key := FlowOf(query.Flow)
-	reason := ReasonUnknown
-	f, known := a.flows[key]
-	switch {
-	case known && f.open():
-		reason = ReasonOpen
-		f.balancer, f.told = from, from
-	case !known && a.complete(now, time.Duration(query.IdleTime)*time.Millisecond):
-		reason = ReasonNotHeld
-	}
-	notice := frame(from, KindNotice, reason, nil)
-	notice.Verb = VerbNotice
-	notice.Flow = key
-	a.actions = append(a.actions, notice)
-	return a.actions
-}
-
-// complete reports whether the cache has every flow that the upstream holds.
-func (a *Agent) complete(now hickorymodel.Instant, idleTime time.Duration) bool {
-	return idleTime > 0 && now.Sub(a.startedAt) > idleTime && len(a.flows) < maxAgentFlows
-}
-
 func (a *Agent) heard(now hickorymodel.Instant, from hickorymodel.Endpoint) *balancerRecord {
 	balancer, ok := a.balancers[from]
 	if !ok {
@@ -230,41 +177,6 @@
 	a.hand(from, p)
 }
 
-// tell tells the balancer of a flow who owns it, unless it was told before.
-func (a *Agent) tell(key hickorymodel.FlowKey, f *agentFlow, reason Reason) {
-	if f.told == f.balancer || f.balancer.IsZero() {
-		return
-	}
-	f.told = f.balancer
-	notice := frame(f.balancer, KindNotice, reason, nil)
-	notice.Verb = VerbNotice
-	notice.Flow = key
-	a.actions = append(a.actions, notice)
-}
-
-// concludeWaiting presumes that flows are held which the upstream has not
-// returned, if it has sent anything since: it returns packets at once.
-func (a *Agent) concludeWaiting(now hickorymodel.Instant) {
-	left := a.waiting[:0]
-	for _, key := range a.waiting {
-		f, ok := a.flows[key]
-		if !ok || f.waitingSince == 0 {
-			continue
-		}
-		waited := now.Sub(f.waitingSince)
-		if waited < returnTime || (a.upstreamAt < f.waitingSince && waited < waitingLife) {
-			left = append(left, key)
-			continue
-		}
-		alive := a.upstreamAt > f.waitingSince
-		f.waitingSince = 0
-		if alive {
-			a.tell(key, f, ReasonPresumed)
-		}
-	}
-	a.waiting = left
-}
-
 // hand delivers a packet with the balancer's address as its mark, so that a
 // returned packet tells by itself where it came from.
 func (a *Agent) hand(from hickorymodel.Endpoint, p *Packet) {
@@ -297,103 +209,6 @@
 	return a.actions
 }
 
-// takeBack sends a packet that the upstream has returned back to its balancer.
-func (a *Agent) takeBack(now hickorymodel.Instant, p *Packet) {
-	var balancer hickorymodel.Endpoint
-	binary.BigEndian.PutUint32(balancer.Address[:], p.Mark)
-	balancer.Port = a.balancerPort
-	reason := ReasonNotHeld
-	f, known := a.flows[p.Flow]
-	switch {
-	case p.First:
-		reason = ReasonFull
-	case known && f.stage == stageOpen:
-		reason = ReasonEnded
-		a.noteLoss(now, f, p)
-	}
-	if known {
-		a.setBusy(f, false)
-		delete(a.flows, p.Flow)
-	}
-	a.sendBack(balancer, reason, p)
-}
-
-// noteLoss starts a cold start when a flow in use is gone: the upstream has
-// restarted. Flows that were idle may have been closed for that.
-func (a *Agent) noteLoss(now hickorymodel.Instant, f *agentFlow, p *Packet) {
-	if !f.open() || now.Sub(f.upstreamAt) > lossTime {
-		return
-	}
-	a.gate.restarted(now)
-	a.decided(&Decision{Step: StepUpstreamCold, Flow: p.Flow})
-}
-
-// learn notes that the upstream holds a flow, and tells the balancer that sent
-// the last packet if it has not been told.
-func (a *Agent) learn(now hickorymodel.Instant, p *Packet) {
-	key := reverse(p.Flow)
-	if p.Reset {
-		if f, ok := a.flows[key]; ok {
-			a.setBusy(f, false)
-			f.upstreamEnded = true
-		}
-		return
-	}
-	f := a.flow(now, key)
-	if f == nil {
-		return
-	}
-	f.upstreamAt = now
-	f.upstreamEnded = f.upstreamEnded || p.Finish
-	if p.Data > 0 {
-		if f.busy {
-			a.answerTime(now.Sub(f.askedAt))
-		}
-		a.setBusy(f, false)
-	}
-	reason := ReasonOpen
-	if p.Answer {
-		reason = ReasonAnswered
-	}
-	reached := stageOpen
-	if p.Answer {
-		reached = stageAnswered
-	}
-	if f.stage < reached {
-		f.stage = reached
-		f.told = hickorymodel.Endpoint{} // there is news to tell
-	}
-	if reached == stageOpen {
-		f.waitingSince = 0
-	}
-	a.tell(key, f, reason)
-}
-
-func (a *Agent) flow(now hickorymodel.Instant, key hickorymodel.FlowKey) *agentFlow {
-	f, ok := a.flows[key]
-	if !ok {
-		if len(a.flows) >= maxAgentFlows {
-			return nil
-		}
-		f = &agentFlow{}
-		a.flows[key] = f
-	}
-	f.seenAt = now
-	return f
-}
-
-func (a *Agent) setBusy(f *agentFlow, busy bool) {
-	if f.busy == busy {
-		return
-	}
-	f.busy = busy
-	if busy {
-		a.busy++
-	} else {
-		a.busy--
-	}
-}
-
 // Stop refuses first packets from now on and tells the balancers.
 func (a *Agent) Stop(now hickorymodel.Instant) []Action {
 	a.actions = a.actions[:0]
