--- a/core/hickorysteering/size_bench_test.go
+++ b/core/hickorysteering/size_bench_test.go
@@ -15,7 +15,7 @@
 
 // targetView has the hosts, addresses and zones of the target: 14,000 upstreams
 // of 2,600 services in 11 zones.
-func targetView(now hickorymodel.Instant) *hickorydirectory.View {
+func targetView() *hickorydirectory.View {
 	view := &hickorydirectory.View{Version: 1, Known: true, IdleTimeout: 15 * time.Second, Routes: map[hickorymodel.SocketAddress]*hickorydirectory.Route{}}
 	for i := range 2600 {
 		address := socketAddress(fmt.Sprintf("198.18.%d.%d:443", i/250, i%250))
@@ -36,17 +36,17 @@
 	return view
 }
 
-func targetBalancer(now hickorymodel.Instant) *hickorysteering.Balancer {
+func targetBalancer() *hickorysteering.Balancer {
 	balancer := hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)),
 		func(*hickorysteering.Decision) {}, func(now hickorymodel.Instant) hickorymodel.Instant { return now })
-	balancer.SetView(now, targetView(now))
+	balancer.SetView(start, targetView())
 	return balancer
 }
 
 // BenchmarkPass is the choice for a packet of a known flow at the target's size.
 func BenchmarkPass(b *testing.B) {
 	now := start
-	balancer := targetBalancer(now)
+	balancer := targetBalancer()
 	packets := make([]hickorysteering.Packet, 13600) // open flows of one balancer
 	for i := range packets {
 		packets[i] = *data()
@@ -63,7 +63,7 @@
 // BenchmarkOpen is the choice for a first packet at the target's size.
 func BenchmarkOpen(b *testing.B) {
 	now := start
-	balancer := targetBalancer(now)
+	balancer := targetBalancer()
 	now = now.Add(time.Second)
 	packet := first(0)
 	packet.Flow.Destination = socketAddress("198.18.3.7:443")
@@ -75,8 +75,8 @@
 
 // BenchmarkSetView is the work of a balancer for one change at the target's size.
 func BenchmarkSetView(b *testing.B) {
-	balancer := targetBalancer(start)
-	view := targetView(start)
+	balancer := targetBalancer()
+	view := targetView()
 	for b.Loop() {
 		balancer.SetView(start, view)
 	}
@@ -84,7 +84,7 @@
 
 // BenchmarkTick is the work of a balancer ten times a second at the target's size.
 func BenchmarkTick(b *testing.B) {
-	balancer := targetBalancer(start)
+	balancer := targetBalancer()
 	for b.Loop() {
 		balancer.Tick(start)
 	}
