--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -17,13 +17,16 @@
 	// are asked with. It is longer than the first repeat of a caller, since the
 	// answers to a busy balancer may take as long.
 	repeatTime = 550 * time.Millisecond
+	// exhaustedLife is how long a search that nobody has answered keeps a later
+	// packet from starting a new one.
+	exhaustedLife = 1500 * time.Millisecond
 	// maxSearches bounds the searches that run at one time.
 	maxSearches = 1 << 14
 )
 
 // search looks for the owner of one flow.
 type search struct {
-	// pending are the agents that were asked and have not sent the packet back.
+	// pending are the agents that were asked and have not denied the flow.
 	pending []hickorymodel.Endpoint
 	// uncertain are agents of pending that do not know and get the packet itself
 	// as soon as the budget allows it.
@@ -35,7 +38,7 @@
 	roundAt hickorymodel.Instant
 	// seen are all agents of pending and rounds, also those that have answered.
 	seen []hickorymodel.Endpoint
-	// exhausted is true once all agents have sent the packet back.
+	// exhausted is true once all agents have denied the flow.
 	exhausted bool
 	// packet is the newest packet of the flow; carried are the agents that have
 	// got it.
@@ -49,6 +52,10 @@
 // search sends a packet of an unknown flow to the agents that may hold it.
 func (b *Balancer) search(now hickorymodel.Instant, p *Packet, except hickorymodel.Endpoint) {
 	s, running := b.searches[p.Flow]
+	if running && s.exhausted && now.Sub(s.startedAt) > exhaustedLife {
+		b.endSearch(p.Flow, s)
+		running = false
+	}
 	if running {
 		s.packet = *p
 		s.carried = nil
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -321,3 +321,16 @@
 	f.is.Equal(targets(found), []hickorymodel.Endpoint{agent(1)})
 	f.is.Equal(payloads(found), 1)
 }
+
+// TestExhaustedSearchStartsAgain guards against a flow that is lost for good
+// because its owner has denied it once.
+func TestExhaustedSearchStartsAgain(t *testing.T) {
+	f := newFixture(t, "a")
+	f.now = f.now.Add(500 * time.Millisecond) // the knowledge of the store is too old for a reset
+	f.balancer.Handle(f.now, data())
+	f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
+	f.now = f.now.Add(600 * time.Millisecond)
+	f.is.Equal(len(targets(f.balancer.Handle(f.now, data()))), 0)
+	f.now = f.now.Add(time.Second)
+	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0)})
+}
--- a/io/hickoryfabric/agent.go
+++ b/io/hickoryfabric/agent.go
@@ -123,23 +123,12 @@
 	a.group.Add("send", func(ctx context.Context) error { return a.data.SendBatches(ctx, a.rings.out) })
 	a.group.Add("deliver", func(ctx context.Context) error { return a.upstream.SendBatches(ctx, a.rings.toUpstream) })
 	a.group.Add("readiness", a.ready.serve)
-	if a.exporter != nil {
-		a.group.Add("ring drops", a.ringDrops().Run)
-		a.group.Add("metrics", a.exporter.Serve)
-	}
+	addMetrics(a.group, a.exporter, a.scope,
+		namedRing{"fromBalancers", a.rings.fromBalancers}, namedRing{"fromUpstream", a.rings.fromUpstream}, namedRing{"toUpstream", a.rings.toUpstream}, namedRing{"out", a.rings.out})
 	a.group.Start(ctx)
 	return nil
 }
 
-func (a *Agent) ringDrops() *hickorymetric.RingDrops {
-	drops := hickorymetric.NewRingDrops(a.scope)
-	drops.Add("fromBalancers", a.rings.fromBalancers.Drops)
-	drops.Add("fromUpstream", a.rings.fromUpstream.Drops)
-	drops.Add("toUpstream", a.rings.toUpstream.Drops)
-	drops.Add("out", a.rings.out.Drops)
-	return drops
-}
-
 // Endpoint returns the socket of balancers and callers.
 func (a *Agent) Endpoint() hickorymodel.Endpoint {
 	return a.data.Endpoint()
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -152,10 +152,8 @@
 	b.group.Add("ask balancers", asker.run)
 	b.group.Add("control", b.control.Serve)
 	b.group.Add("readiness", b.ready.serve)
-	if b.exporter != nil {
-		b.group.Add("ring drops", b.ringDrops().Run)
-		b.group.Add("metrics", b.exporter.Serve)
-	}
+	addMetrics(b.group, b.exporter, b.scope,
+		namedRing{"fromCallers", b.rings.fromCallers}, namedRing{"fromAgents", b.rings.fromAgents}, namedRing{"toAgents", b.rings.toAgents}, namedRing{"toCallers", b.rings.toCallers})
 	b.group.Start(ctx)
 	return nil
 }
@@ -193,15 +191,6 @@
 	}
 }
 
-func (b *Balancer) ringDrops() *hickorymetric.RingDrops {
-	drops := hickorymetric.NewRingDrops(b.scope)
-	drops.Add("fromCallers", b.rings.fromCallers.Drops)
-	drops.Add("fromAgents", b.rings.fromAgents.Drops)
-	drops.Add("toAgents", b.rings.toAgents.Drops)
-	drops.Add("toCallers", b.rings.toCallers.Drops)
-	return drops
-}
-
 // Endpoint returns the socket of the fabric.
 func (b *Balancer) Endpoint() hickorymodel.Endpoint {
 	return b.callers.Endpoint()
--- a/io/hickoryfabric/parts.go
+++ b/io/hickoryfabric/parts.go
@@ -7,8 +7,10 @@
 
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/core/hickorysteering"
+	"hickoryworks/io/hickoryduty"
 	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickorymetric"
+	"hickoryworks/io/hickoryring"
 	"hickoryworks/io/hickorysocket"
 	"hickoryworks/schema/hickoryevent"
 	"hickoryworks/schema/hickoryid"
@@ -74,3 +76,23 @@
 	}
 	return parsed, nil
 }
+
+// namedRing is a ring whose drops are exported.
+type namedRing struct {
+	name string
+	ring *hickoryring.FrameRing
+}
+
+// addMetrics adds the duties that export the drops of rings and serve the page,
+// if there is one.
+func addMetrics(group *hickoryduty.Group, exporter *hickorymetric.Exporter, scope tally.Scope, rings ...namedRing) {
+	if exporter == nil {
+		return
+	}
+	drops := hickorymetric.NewRingDrops(scope)
+	for _, r := range rings {
+		drops.Add(r.name, r.ring.Drops)
+	}
+	group.Add("ring drops", drops.Run)
+	group.Add("metrics", exporter.Serve)
+}
