--- a/cmd/hickory-agent/fabric.go
+++ b/cmd/hickory-agent/fabric.go
@@ -13,6 +13,7 @@
 
 // runOnFabric runs on a datagram fabric.
 func runOnFabric(ctx context.Context, path string) error {
+	reloads := hickoryprogram.NotifyReloads()
 	settings, err := readAgent(path)
 	if err != nil {
 		return err
@@ -25,10 +26,11 @@
 		return err
 	}
 	return hickoryprogram.Run(ctx, hickoryprogram.Daemon{
-		Start:  agent.Start,
-		Drain:  agent.Drain,
-		Close:  agent.Close,
-		Reload: func() { agent.Reload(readAgent(path)) },
+		Start:   agent.Start,
+		Drain:   agent.Drain,
+		Close:   agent.Close,
+		Reload:  func() { agent.Reload(readAgent(path)) },
+		Reloads: reloads,
 	}, logger)
 }
 
--- a/cmd/hickory-balancer/fabric.go
+++ b/cmd/hickory-balancer/fabric.go
@@ -13,6 +13,7 @@
 
 // runOnFabric runs on a datagram fabric.
 func runOnFabric(ctx context.Context, path string) error {
+	reloads := hickoryprogram.NotifyReloads()
 	settings, err := readBalancer(path)
 	if err != nil {
 		return err
@@ -25,10 +26,11 @@
 		return err
 	}
 	return hickoryprogram.Run(ctx, hickoryprogram.Daemon{
-		Start:  balancer.Start,
-		Drain:  balancer.Drain,
-		Close:  balancer.Close,
-		Reload: func() { balancer.Reload(readBalancer(path)) },
+		Start:   balancer.Start,
+		Drain:   balancer.Drain,
+		Close:   balancer.Close,
+		Reload:  func() { balancer.Reload(readBalancer(path)) },
+		Reloads: reloads,
 	}, logger)
 }
 
--- a/io/hickoryprogram/daemon.go
+++ b/io/hickoryprogram/daemon.go
@@ -25,8 +25,18 @@
 	// own time.
 	Drain func(context.Context) error
 	Close func() error
-	// Reload takes changed settings. Without it, SIGHUP has its default effect.
-	Reload func()
+	// Reload takes changed settings at each value of Reloads. Without Reloads,
+	// SIGHUP has its default effect, which ends the process.
+	Reload  func()
+	Reloads <-chan os.Signal
+}
+
+// NotifyReloads returns a channel that gets SIGHUP from now on. A daemon calls it
+// before anything else, since the signal may come while it starts.
+func NotifyReloads() <-chan os.Signal {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	return reloads
 }
 
 // Run starts a daemon and waits for a signal. The first signal starts a
@@ -53,17 +63,13 @@
 // awaitStop waits for the first signal that stops the daemon, and reloads its
 // settings on SIGHUP.
 func awaitStop(ctx context.Context, daemon Daemon, signals <-chan os.Signal) {
-	reloads := make(chan os.Signal, 1)
-	if daemon.Reload != nil {
-		signal.Notify(reloads, syscall.SIGHUP)
-	}
 	for {
 		select {
 		case <-signals:
 			return
 		case <-ctx.Done():
 			return
-		case <-reloads:
+		case <-daemon.Reloads:
 			daemon.Reload()
 		}
 	}
