Ignore SIGHUP from the moment a daemon is loaded

SIGHUP that arrives after exec and before the first line of main ends the process: the Go runtime installs the default action, and NotifyReloads comes milliseconds later.

Change: package io/hickoryhangup, a C constructor that sets SIGHUP to ignored when the program is loaded. The runtime keeps an ignored SIGHUP until os/signal asks for it, and settings are read after that, so no reload is lost.

What is left is the time in which the loader maps the program, below a millisecond.

--- a/cmd/hickory-agent/fabric.go
+++ b/cmd/hickory-agent/fabric.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"hickoryworks/io/hickoryfabric"
+	_ "hickoryworks/io/hickoryhangup"
 	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickoryprogram"
 	"hickoryworks/platform"
--- a/io/hickoryprogram/daemon.go
+++ b/io/hickoryprogram/daemon.go
@@ -26,7 +26,7 @@
 	Drain func(context.Context) error
 	Close func() error
 	// Reload takes changed settings at each value of Reloads. Without Reloads,
-	// SIGHUP has its default effect, which ends the process.
+	// SIGHUP keeps the effect that it had at the start.
 	Reload  func()
 	Reloads <-chan os.Signal
 }
