Ask the store for confirmation when a flow that nobody holds waits for it

Change: a decision that waits for confirmation alone wakes the follower, which then sends a watch of 1 ms; at most one each 100 ms, none after a failure. The time up to which the state is known now travels with the view, or is noted once the answer is applied: before, it could run ahead of the view by a turn.

TestSearchAsksForConfirmation and TestFollowerConfirmsOnDemand fail without the change.

--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -26,6 +26,9 @@
 	Version int
 	// Known is false until the whole state has been told.
 	Known bool
+	// Confirmed is the time up to which the view has all published changes; 0
+	// while the store has not answered.
+	Confirmed hickorymodel.Instant
 	// IdleTimeout is the time without packets after which a flow may be forgotten.
 	IdleTimeout time.Duration
 	Routes      map[hickorymodel.SocketAddress]*Route
--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -42,7 +42,8 @@
 	random    *rand.Rand
 	// decided is called with each decision.
 	decided func(*Decision)
-	// confirmed returns the time up to which all published changes are known.
+	// confirmed returns a time up to which all published changes are known; that
+	// of the view may be later.
 	confirmed func(now hickorymodel.Instant) hickorymodel.Instant
 
 	view  *hickorydirectory.View
@@ -54,6 +55,8 @@
 	searches map[hickorymodel.FlowKey]*search
 	// widening counts the searches that have agents left to ask.
 	widening int
+	// unconfirmed is true while a search waits for confirmed alone.
+	unconfirmed bool
 	// searching bounds the packets of searches.
 	searching byteBudget
 	// heardAt is when any agent was last heard.
@@ -66,8 +69,8 @@
 }
 
 // NewBalancer returns a balancer that knows nothing yet. Decided is called with
-// each decision; confirmed returns the time up to which all published changes
-// are known.
+// each decision; confirmed returns a time up to which all published changes are
+// known.
 func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, decided func(*Decision), confirmed func(now hickorymodel.Instant) hickorymodel.Instant) *Balancer {
 	return &Balancer{
 		zone:      zone,
@@ -273,6 +276,14 @@
 	return b.widening > 0
 }
 
+// Unconfirmed reports whether, since the last call, a search would have ended if
+// the published state had been confirmed.
+func (b *Balancer) Unconfirmed() bool {
+	unconfirmed := b.unconfirmed
+	b.unconfirmed = false
+	return unconfirmed
+}
+
 // Flows returns the number of flows in the cache.
 func (b *Balancer) Flows() int {
 	return len(b.flows)
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -208,8 +208,12 @@
 // have been listed that long before the search.
 func (b *Balancer) conclude(now hickorymodel.Instant, s *search) {
 	b.askNew(now, s)
-	complete := s.startedAt.Add(-settleTime).Before(b.confirmed(now))
-	if !s.exhausted || !complete || now.Before(b.staleUntil) || !b.knowsHolders(now) {
+	if !s.exhausted || now.Before(b.staleUntil) || !b.knowsHolders(now) {
+		return
+	}
+	confirmed := max(b.view.Confirmed, b.confirmed(now))
+	if !s.startedAt.Add(-settleTime).Before(confirmed) {
+		b.unconfirmed = true
 		return
 	}
 	b.lose(hickorymodel.Endpoint{}, ReasonNotHeld, &s.packet)
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -334,3 +334,18 @@
 	f.now = f.now.Add(time.Second)
 	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0)})
 }
+
+// TestSearchAsksForConfirmation guards against a flow that nobody holds and that
+// waits until the store is read again by chance.
+func TestSearchAsksForConfirmation(t *testing.T) {
+	f := newFixture(t, "a")
+	f.now = f.now.Add(500 * time.Millisecond)
+	f.balancer.Handle(f.now, data())
+	f.is.True(!f.balancer.Unconfirmed())
+	f.is.Equal(resets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())), 0)
+	f.is.True(f.balancer.Unconfirmed())
+	f.is.True(!f.balancer.Unconfirmed()) // once for each look
+	f.view.Confirmed = f.now
+	f.balancer.SetView(f.now, f.view)
+	f.is.Equal(resets(f.balancer.Tick(f.now)), 1)
+}
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -66,6 +66,8 @@
 	answers     *hickoryring.StoreRing
 	states      *hickoryring.StateRing
 	asks        *hickoryring.AskRing
+	// wakes asks the follower of the store for confirmation.
+	wakes *hickoryring.WakeRing
 }
 
 // BalancerOption changes a balancer at construction.
@@ -98,6 +100,7 @@
 			answers:     hickoryring.NewStoreRing(),
 			states:      hickoryring.NewStateRing(),
 			asks:        hickoryring.NewAskRing(),
+			wakes:       hickoryring.NewWakeRing(),
 		},
 	}
 	for _, option := range options {
@@ -138,9 +141,9 @@
 // Start runs the duties until Close.
 func (b *Balancer) Start(ctx context.Context) error {
 	b.group = hickoryduty.New(string(b.settings.Instance), b.logger)
-	follower := newFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings.answers, b.clock, b.scope)
+	follower := newFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings.answers, b.rings.wakes, b.clock, b.scope)
 	decider := b.newDecider(follower.confirmed)
-	keeper := b.newKeeper()
+	keeper := b.newKeeper(follower.noteApplied)
 	asker := &asker{client: b.calls, asks: b.rings.asks, states: b.rings.states, logger: b.logger}
 	b.group.Add("receive from callers", func(ctx context.Context) error { return b.callers.ReceiveBatches(ctx, b.rings.fromCallers) })
 	b.group.Add("receive from agents", func(ctx context.Context) error { return b.agents.ReceiveBatches(ctx, b.rings.fromAgents) })
@@ -176,7 +179,7 @@
 	return d
 }
 
-func (b *Balancer) newKeeper() *keeper {
+func (b *Balancer) newKeeper(noteApplied func(hickorymodel.Instant)) *keeper {
 	random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
 	return &keeper{
 		clock:     b.clock,
@@ -188,6 +191,8 @@
 		states:    b.rings.states,
 		asks:      b.rings.asks,
 		views:     b.rings.views,
+
+		noteApplied: noteApplied,
 	}
 }
 
--- a/io/hickoryfabric/balancer_decider.go
+++ b/io/hickoryfabric/balancer_decider.go
@@ -161,6 +161,9 @@
 }
 
 func (d *balancerDecider) perform(ctx context.Context, actions []hickorysteering.Action) {
+	if d.steering.Unconfirmed() {
+		d.rings.wakes.Put()
+	}
 	for i := range actions {
 		action := &actions[i]
 		if action.Verb == hickorysteering.VerbReset {
--- a/io/hickoryfabric/follower.go
+++ b/io/hickoryfabric/follower.go
@@ -28,6 +28,12 @@
 	// batchPause lets changes gather between two watches, since each call is paid
 	// for. It adds to the time in which a change takes effect.
 	batchPause = 800 * time.Millisecond
+	// confirmPause is the shortest pause that a wish for confirmation leaves; it
+	// bounds the calls while open flows are lost.
+	confirmPause = 100 * time.Millisecond
+	// confirmWait is how long the store holds a watch that is sent for
+	// confirmation alone: the store's shortest.
+	confirmWait = time.Millisecond
 	// retryBase and retryLimit bound the pause after a failed call, which
 	// doubles with each further one.
 	retryBase  = 200 * time.Millisecond
@@ -39,27 +45,32 @@
 	store  Store
 	random *rand.Rand
 	ring   *hickoryring.StoreRing
-	calls  map[string]tally.Counter
+	// wakes asks for an answer of the store soon.
+	wakes *hickoryring.WakeRing
+	calls map[string]tally.Counter
 
 	// listed is true while the next call is a watch after through.
 	listed  bool
 	through hickorydirectory.Revision
 	// failures counts the failed calls since the last answer.
 	failures int
+	// hurried is true while the next watch is sent for confirmation alone.
+	hurried bool
 
 	clock *hickoryclock.Clock
-	// answeredSince is when the last answered call was sent, watchingSince when
-	// the pending watch was sent; 0 for none. Other duties read them.
+	// answeredSince is when the last answered call was sent whose changes are in
+	// force, watchingSince when the pending watch was sent; 0 for none. Other
+	// duties read them.
 	answeredSince atomic.Int64
 	watchingSince atomic.Int64
 }
 
-func newFollower(store Store, random *rand.Rand, ring *hickoryring.StoreRing, clock *hickoryclock.Clock, scope tally.Scope) *follower {
+func newFollower(store Store, random *rand.Rand, ring *hickoryring.StoreRing, wakes *hickoryring.WakeRing, clock *hickoryclock.Clock, scope tally.Scope) *follower {
 	calls := map[string]tally.Counter{}
 	for _, outcome := range []string{"answered", "failed", "historyGone"} {
 		calls[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("store_calls")
 	}
-	return &follower{store: store, random: random, ring: ring, clock: clock, calls: calls}
+	return &follower{store: store, random: random, ring: ring, wakes: wakes, clock: clock, calls: calls}
 }
 
 // run follows the store until the context ends.
@@ -70,13 +81,10 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if !f.ring.Put(ctx, hickoryring.StoreAnswer{Batch: batch, Err: err}) {
+		if !f.ring.Put(ctx, hickoryring.StoreAnswer{Batch: batch, Err: err, SentAt: sent}) {
 			return ctx.Err()
 		}
-		if err == nil {
-			f.answeredSince.Store(int64(sent))
-		}
-		if err := pause(ctx, f.next(batch, err)); err != nil {
+		if err := f.rest(ctx, f.next(batch, err), err == nil); err != nil {
 			return err
 		}
 	}
@@ -88,11 +96,43 @@
 		defer cancel()
 		return f.store.List(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := watchWait
+	if f.hurried {
+		wait = confirmWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	f.watchingSince.Store(int64(f.clock.Now()))
 	defer f.watchingSince.Store(0)
-	return f.store.Watch(ctx, f.through, watchWait)
+	return f.store.Watch(ctx, f.through, wait)
+}
+
+// rest waits between two calls. A wish for confirmation shortens the pause after
+// an answer: open flows that nobody holds wait for it. Pauses after failures keep
+// their length.
+func (f *follower) rest(ctx context.Context, wait time.Duration, answered bool) error {
+	f.hurried = false
+	if !answered || wait <= confirmPause {
+		return pause(ctx, wait)
+	}
+	if err := pause(ctx, confirmPause); err != nil {
+		return err
+	}
+	timer := time.NewTimer(wait - confirmPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-f.wakes.Items():
+		f.hurried = true
+	case <-timer.C:
+	}
+	return nil
+}
+
+// noteApplied notes that the changes of an answered call are in force.
+func (f *follower) noteApplied(sentAt hickorymodel.Instant) {
+	f.answeredSince.Store(int64(sentAt))
 }
 
 // confirmed returns the time up to which all published changes are known: a
--- a/io/hickoryfabric/follower_test.go
+++ b/io/hickoryfabric/follower_test.go
@@ -23,7 +23,7 @@
 
 func testFollower(store Store) *follower {
 	store.HistoryGone = func(err error) bool { return errors.Is(err, errGone) }
-	return newFollower(store, rand.New(rand.NewPCG(1, 1)), hickoryring.NewStoreRing(), hickoryclock.New(), tally.NoopScope)
+	return newFollower(store, rand.New(rand.NewPCG(1, 1)), hickoryring.NewStoreRing(), hickoryring.NewWakeRing(), hickoryclock.New(), tally.NoopScope)
 }
 
 // TestFollowerPauses guards the number of calls: each one is paid for, also
@@ -115,3 +115,39 @@
 		})
 	}
 }
+
+// TestFollowerConfirmsOnDemand guards against open flows that wait for the end of
+// the pause after a change before their loss is certain.
+func TestFollowerConfirmsOnDemand(t *testing.T) {
+	is := is.New(t)
+	f := testFollower(Store{})
+	f.wakes.Put()
+	begun := time.Now()
+	is.NoErr(f.rest(t.Context(), time.Hour, true))
+	is.True(f.hurried)
+	is.True(time.Since(begun) >= confirmPause) // each call is paid for
+	waits := []time.Duration{}
+	f.store.Watch = func(_ context.Context, _ hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error) {
+		waits = append(waits, wait)
+		return &hickorydirectory.Batch{}, nil
+	}
+	f.listed = true
+	_, err := f.call(t.Context())
+	is.NoErr(err)
+	is.NoErr(f.rest(t.Context(), 0, true))
+	_, err = f.call(t.Context())
+	is.NoErr(err)
+	is.Equal(waits, []time.Duration{confirmWait, watchWait})
+}
+
+// TestFollowerKeepsPauseAfterFailure guards a store that is down against calls for
+// confirmation.
+func TestFollowerKeepsPauseAfterFailure(t *testing.T) {
+	is := is.New(t)
+	f := testFollower(Store{})
+	f.wakes.Put()
+	begun := time.Now()
+	is.NoErr(f.rest(t.Context(), 2*confirmPause, false))
+	is.True(time.Since(begun) >= 2*confirmPause)
+	is.True(!f.hurried)
+}
--- a/io/hickoryfabric/keeper.go
+++ b/io/hickoryfabric/keeper.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
 	"hickoryworks/io/hickoryclock"
 	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickoryring"
@@ -28,7 +29,11 @@
 	states    *hickoryring.StateRing
 	asks      *hickoryring.AskRing
 	views     *hickoryring.DirectoryRing
+	// noteApplied is called with the time of an answered call that changed nothing.
+	noteApplied func(sentAt hickorymodel.Instant)
 
+	// confirmedAt is when the last answered call of the store was sent.
+	confirmedAt hickorymodel.Instant
 	// storeLost is true from a failed call of the store to the next answer.
 	storeLost bool
 }
@@ -79,9 +84,12 @@
 	for _, fault := range answer.Batch.Faults {
 		k.logger.Log(hickoryevent.StoreValueRejected, hickorylog.Fields{"key": fault.Key, "error": fault.Reason})
 	}
+	k.confirmedAt = answer.SentAt
 	if k.directory.Apply(k.clock.Now(), answer.Batch) {
 		k.publish("store")
+		return
 	}
+	k.noteApplied(answer.SentAt)
 }
 
 func (k *keeper) takeCall(call hickoryring.StateCall) {
@@ -110,6 +118,7 @@
 // publish passes on a view of the state, with its source in the log.
 func (k *keeper) publish(source string) {
 	view := k.directory.View(k.clock.Now())
+	view.Confirmed = k.confirmedAt
 	accepting := 0
 	for i := range view.Upstreams {
 		if view.Upstreams[i].Accepting {
--- a/io/hickoryring/store_ring.go
+++ b/io/hickoryring/store_ring.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
 )
 
 // StoreAnswer is the outcome of one call of the store.
@@ -11,6 +12,8 @@
 	// Batch is nil when Err is set.
 	Batch *hickorydirectory.Batch
 	Err   error
+	// SentAt is when the call was sent; the answer has all changes before it.
+	SentAt hickorymodel.Instant
 }
 
 // storeCapacity bounds the answers that wait at one time.
