Use the newest entry of each endpoint

Change: entries carry the published start of the upstream; a view has one entry for each endpoint, the one started last, or with the highest revision where no start is published.

TestNewestEntryOfEndpoint fails without the change (two upstreams at one endpoint).

--- a/core/hickorydirectory/apply.go
+++ b/core/hickorydirectory/apply.go
@@ -63,7 +63,6 @@
 	if known && Revision(entry.Revision) <= record.revision {
 		return
 	}
-	d.dropPredecessor(entry.ID, endpoint)
 	next := &upstreamRecord{listed: *entry, revision: Revision(entry.Revision), endpoint: endpoint}
 	if !known && Revision(entry.Revision) <= d.through {
 		next.removedAt = now // the changes up to through have removed it
@@ -75,15 +74,6 @@
 	d.serial++
 }
 
-// dropPredecessor forgets another upstream that had the same endpoint.
-func (d *Directory) dropPredecessor(id hickoryid.UpstreamID, endpoint hickorymodel.Endpoint) {
-	for other, record := range d.upstreams {
-		if other != id && record.endpoint == endpoint && record.removedAt != 0 {
-			delete(d.upstreams, other)
-		}
-	}
-}
-
 func (d *Directory) remove(now hickorymodel.Instant, id hickoryid.UpstreamID, revision Revision) {
 	record, known := d.upstreams[id]
 	if !known {
--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -127,6 +127,47 @@
 	}
 }
 
+// TestNewestEntryOfEndpoint guards against an upstream that is believed to be its
+// predecessor, whose entry has not lapsed yet: a cold one was taken for warm, and
+// agents that had just started could not deny flows after a power off.
+func TestNewestEntryOfEndpoint(t *testing.T) {
+	entry := func(id hickoryid.UpstreamID, revision, startedAt int) hickorydirectory.Change {
+		change := upstream(1, revision, false, "0s")
+		change.Upstream.ID, change.Upstream.StartedAt = id, startedAt
+		return change
+	}
+	cases := []struct {
+		name    string
+		changes []hickorydirectory.Change
+		want    ids
+	}{
+		{"by start", []hickorydirectory.Change{entry("u-a", 3, 2000), entry("u-b", 9, 1000)}, ids{"u-a"}},
+		{"by start, in the other order", []hickorydirectory.Change{entry("u-b", 9, 1000), entry("u-a", 3, 2000)}, ids{"u-a"}},
+		{"by revision", []hickorydirectory.Change{entry("u-a", 3, 0), entry("u-b", 9, 0)}, ids{"u-b"}},
+		{"removed entry whose id sorts later", []hickorydirectory.Change{
+			entry("z-removed", 3, 0), entry("u-b", 9, 0),
+			{Removed: &hickorymessage.RemovedUpstream{ID: "z-removed", Revision: 12}},
+		}, ids{"u-b"}},
+		{"predecessor removed later", []hickorydirectory.Change{
+			entry("u-a", 3, 1000), entry("u-b", 9, 2000),
+			{Removed: &hickorymessage.RemovedUpstream{ID: "u-a", Revision: 12}},
+		}, ids{"u-b"}},
+		{"successor removed", []hickorydirectory.Change{
+			entry("u-a", 3, 1000), entry("u-b", 9, 2000),
+			{Removed: &hickorymessage.RemovedUpstream{ID: "u-b", Revision: 12}},
+		}, ids{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := hickorydirectory.New()
+			d.Apply(start, changes(12, c.changes...))
+			is.Equal(accepting(d.View(start)), c.want)
+			is.Equal(len(d.View(start).Upstreams), 1)
+		})
+	}
+}
+
 // TestLapsedEntries guards against a service that loses all upstreams at once
 // when the store returns without their entries, and against entries that stay
 // for good.
--- a/core/hickorydirectory/record.go
+++ b/core/hickorydirectory/record.go
@@ -30,6 +30,18 @@
 	return r.removedAt == 0 || now.Before(r.lapsesAt)
 }
 
+// follows reports whether the entry is of a later upstream at the same endpoint.
+// Starts that are published tell; revisions rise with other changes as well.
+func (r *upstreamRecord) follows(other *upstreamRecord) bool {
+	if r.listed.StartedAt != other.listed.StartedAt && r.listed.StartedAt != 0 && other.listed.StartedAt != 0 {
+		return r.listed.StartedAt > other.listed.StartedAt
+	}
+	if (r.removedAt == 0) != (other.removedAt == 0) {
+		return r.removedAt == 0
+	}
+	return r.revision > other.revision
+}
+
 // zoneRecord is what is known of one zone.
 type zoneRecord struct {
 	mark hickorymessage.ZoneMark
--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -32,7 +32,7 @@
 	// IdleTimeout is the time without packets after which a flow may be forgotten.
 	IdleTimeout time.Duration
 	Routes      map[hickorymodel.SocketAddress]*Route
-	// Upstreams are sorted by ID.
+	// Upstreams are sorted by ID and have different endpoints.
 	Upstreams []Upstream
 }
 
@@ -61,6 +61,10 @@
 	// Accepting is false when the upstream leaves, has left, or its zone is out
 	// of service; open flows still go there.
 	Accepting bool
+	// Leaving is true when the upstream itself leaves or has left.
+	Leaving bool
+	// StartedAt is when the upstream started, by the clock of its machine.
+	StartedAt hickorymodel.WallTime
 	// ColdUntil is when the cold start ends; 0 for a warm upstream.
 	ColdUntil hickorymodel.Instant
 	// RampTime and RampRate are the service's cold start.
@@ -83,9 +87,10 @@
 			view.addRoute(&d.table.Routes[i])
 		}
 	}
+	newest := d.newestAtEndpoints()
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		record := d.upstreams[id]
-		if record.endpoint.IsZero() {
+		if record.endpoint.IsZero() || newest[record.endpoint] != record {
 			continue
 		}
 		view.Upstreams = append(view.Upstreams, d.upstream(now, record, services[record.listed.Service]))
@@ -93,6 +98,18 @@
 	return view
 }
 
+// newestAtEndpoints returns the last entry of each endpoint. An upstream that has
+// started again has another entry while that of its predecessor has not lapsed.
+func (d *Directory) newestAtEndpoints() map[hickorymodel.Endpoint]*upstreamRecord {
+	newest := map[hickorymodel.Endpoint]*upstreamRecord{}
+	for _, record := range d.upstreams {
+		if other := newest[record.endpoint]; other == nil || record.follows(other) {
+			newest[record.endpoint] = record
+		}
+	}
+	return newest
+}
+
 func (v *View) addRoute(published *hickorymessage.Route) {
 	endpoint, err := hickorymodel.ParseEndpoint(published.Address)
 	if err != nil {
@@ -117,6 +134,8 @@
 		Endpoint:  record.endpoint,
 		Slots:     record.listed.Slots,
 		Accepting: record.accepting(now) && (zone == nil || !zone.mark.Excluded),
+		Leaving:   !record.accepting(now),
+		StartedAt: hickorymodel.WallTime(record.listed.StartedAt),
 		ColdUntil: record.coldUntil,
 		RampTime:  service.RampTime.Value(),
 		RampRate:  service.RampRate,
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -89,6 +89,10 @@
 	// Slots corresponds to the JSON schema field "slots".
 	Slots hickoryid.Slots `json:"slots" yaml:"slots"`
 
+	// StartedAt is the Unix millisecond of the upstream's start by its own clock; 0
+	// when it is not published.
+	StartedAt int `json:"startedAt,omitempty,omitzero" yaml:"startedAt,omitempty"`
+
 	// Zone corresponds to the JSON schema field "zone".
 	Zone hickoryid.ZoneName `json:"zone" yaml:"zone"`
 }
@@ -131,6 +135,12 @@
 	if 0 > plain.Revision {
 		return fmt.Errorf("field %s: must be >= %v", "revision", 0)
 	}
+	if v, ok := raw["startedAt"]; !ok || v == nil {
+		plain.StartedAt = 0
+	}
+	if 0 > plain.StartedAt {
+		return fmt.Errorf("field %s: must be >= %v", "startedAt", 0)
+	}
 	*j = ListedUpstream(plain)
 	return nil
 }
