End searches for dead flows within a second of a power off

Change: (1) an agent that is silent beside an upstream that leaves or has left is asked no more and waited for no more; (2) queries name the published start of the upstream, and an agent that has run since then denies what it has not seen; (3) queries and answers of all searches share frames, one for each agent each 10 ms; the first query of a quiet time does not wait.

TestSearchReachesAll now lets time pass between answers, since queries gather.

--- a/core/hickorysteering/action.go
+++ b/core/hickorysteering/action.go
@@ -14,8 +14,10 @@
 	VerbFrame Verb = iota
 	// VerbNotice sends a frame that names the owner of a flow.
 	VerbNotice
-	// VerbQuery sends a frame that asks who owns a flow.
+	// VerbQuery sends a frame that asks who owns flows.
 	VerbQuery
+	// VerbAnswers sends a frame that answers a query.
+	VerbAnswers
 	// VerbReport sends a frame with the state of the agent.
 	VerbReport
 	// VerbReset sends a reset to the caller.
@@ -39,8 +41,10 @@
 	Flow hickorymodel.FlowKey
 	// Sequence is the position of a reset.
 	Sequence uint32
-	// Query belongs to VerbQuery.
-	Query hickoryframe.Query
+	// Query and Flows belong to VerbQuery, Answers to VerbAnswers.
+	Query   hickoryframe.Query
+	Flows   []hickoryframe.Notice
+	Answers []hickoryframe.Answer
 	// Report and Addresses belong to VerbReport.
 	Report    hickoryframe.Report
 	Addresses []hickoryframe.Address
--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -57,9 +57,11 @@
 	// answerTime is called with the time from a request to its answer.
 	answerTime func(time.Duration)
 
-	// startedAt is when the agent began to see packets.
-	startedAt hickorymodel.Instant
-	gate      gate
+	// startedAt is when the agent began to see packets, startedWall the same by
+	// the time of day.
+	startedAt   hickorymodel.Instant
+	startedWall hickorymodel.WallTime
+	gate        gate
 	// flows has at most maxAgentFlows entries; busy of them are busy.
 	flows map[hickorymodel.FlowKey]*agentFlow
 	busy  int
@@ -84,15 +86,16 @@
 	}
 }
 
-// NewAgent returns an agent without flows. Seeds are balancers that get reports
-// before they send anything.
-func NewAgent(now hickorymodel.Instant, service hickorydirectory.ServiceHash, balancerPort uint16, seeds []hickorymodel.Endpoint, decided func(*Decision), options ...AgentOption) *Agent {
+// NewAgent returns an agent without flows. It starts at now, which is wall by the
+// time of day. Seeds are balancers that get reports before they send anything.
+func NewAgent(now hickorymodel.Instant, wall hickorymodel.WallTime, service hickorydirectory.ServiceHash, balancerPort uint16, seeds []hickorymodel.Endpoint, decided func(*Decision), options ...AgentOption) *Agent {
 	a := &Agent{
 		service:      service,
 		balancerPort: balancerPort,
 		decided:      decided,
 		answerTime:   func(time.Duration) {},
 		startedAt:    now,
+		startedWall:  wall,
 		flows:        map[hickorymodel.FlowKey]*agentFlow{},
 		balancers:    map[hickorymodel.Endpoint]*balancerRecord{},
 	}
--- a/core/hickorysteering/agent_owner.go
+++ b/core/hickorysteering/agent_owner.go
@@ -7,31 +7,47 @@
 	"hickoryworks/schema/hickoryframe"
 )
 
-// HandleQuery answers whether the upstream holds a flow. An agent that has run
-// for longer than a flow may be idle has seen every one that is not forgotten.
-func (a *Agent) HandleQuery(now hickorymodel.Instant, from hickorymodel.Endpoint, query *hickoryframe.Query) []Action {
+// predecessorTime is less than it takes to stop an agent and to start the next
+// one, so an upstream that is that much older at most has had no other agent.
+const predecessorTime = 250 * time.Millisecond
+
+// HandleQuery answers which flows the upstream holds. An agent that has run for
+// longer than a flow may be idle, or since its upstream started, has seen every
+// one that is not forgotten.
+func (a *Agent) HandleQuery(now hickorymodel.Instant, from hickorymodel.Endpoint, query *hickoryframe.Query, flows []hickoryframe.Notice) []Action {
 	a.actions = a.actions[:0]
 	a.heard(now, from)
-	key := FlowOf(query.Flow)
-	reason := ReasonUnknown
-	f, known := a.flows[key]
-	switch {
-	case known && f.open():
-		reason = ReasonOpen
-		f.balancer, f.told = from, from
-	case !known && a.complete(now, time.Duration(query.IdleTime)*time.Millisecond):
-		reason = ReasonNotHeld
+	complete := a.complete(now, query)
+	action := frame(from, KindAnswers, ReasonNone, nil)
+	action.Verb = VerbAnswers
+	action.Answers = make([]hickoryframe.Answer, 0, len(flows))
+	for _, name := range flows {
+		reason := ReasonUnknown
+		f, known := a.flows[FlowOf(name)]
+		switch {
+		case known && f.open():
+			reason = ReasonOpen
+			f.balancer, f.told = from, from
+		case !known && complete:
+			reason = ReasonNotHeld
+		}
+		action.Answers = append(action.Answers, hickoryframe.Answer{Flow: name, Reason: uint8(reason)})
 	}
-	notice := frame(from, KindNotice, reason, nil)
-	notice.Verb = VerbNotice
-	notice.Flow = key
-	a.actions = append(a.actions, notice)
+	a.actions = append(a.actions, action)
 	return a.actions
 }
 
 // complete reports whether the cache has every flow that the upstream holds.
-func (a *Agent) complete(now hickorymodel.Instant, idleTime time.Duration) bool {
-	return idleTime > 0 && now.Sub(a.startedAt) > idleTime && len(a.flows) < maxAgentFlows
+func (a *Agent) complete(now hickorymodel.Instant, query *hickoryframe.Query) bool {
+	if len(a.flows) >= maxAgentFlows {
+		return false
+	}
+	idleTime := time.Duration(query.IdleTime) * time.Millisecond
+	if idleTime > 0 && now.Sub(a.startedAt) > idleTime {
+		return true
+	}
+	upstreamStart := hickorymodel.WallTime(query.StartedAt)
+	return upstreamStart > 0 && upstreamStart.Add(predecessorTime) >= a.startedWall
 }
 
 // tell tells the balancer of a flow who owns it, unless it was told before.
--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -53,6 +53,10 @@
 	// flows has at most maxFlows entries.
 	flows    map[hickorymodel.FlowKey]*flow
 	searches map[hickorymodel.FlowKey]*search
+	// queries are the flows that agents are asked for with the next frames; they
+	// were last sent at queriedAt.
+	queries   map[hickorymodel.Endpoint][]hickoryframe.Notice
+	queriedAt hickorymodel.Instant
 	// widening counts the searches that have agents left to ask.
 	widening int
 	// unconfirmed is true while a search waits for confirmed alone.
@@ -83,6 +87,7 @@
 		services:  map[hickorydirectory.ServiceHash][]*peer{},
 		flows:     map[hickorymodel.FlowKey]*flow{},
 		searches:  map[hickorymodel.FlowKey]*search{},
+		queries:   map[hickorymodel.Endpoint][]hickoryframe.Notice{},
 	}
 }
 
@@ -96,9 +101,6 @@
 	}
 	for _, upstream := range view.Upstreams {
 		p := b.peer(b.agentOf(upstream.Endpoint))
-		if p.listed && !upstream.Accepting {
-			continue // a removed entry with the endpoint of a newer one
-		}
 		if p.upstream.ID != upstream.ID || p.listedAt == 0 {
 			p.listedAt = now
 		}
@@ -107,6 +109,8 @@
 		b.services[upstream.Service] = append(b.services[upstream.Service], p)
 	}
 	b.sayHello(now)
+	b.dropGone(now)
+	b.sendQueries(now)
 	return b.actions
 }
 
@@ -136,17 +140,24 @@
 	b.heard(now, from).report(now, header, report, addresses)
 }
 
-// HandleNotice takes the owner of a flow, or the answer to a query.
+// HandleNotice takes the owner of a flow.
 func (b *Balancer) HandleNotice(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, key hickorymodel.FlowKey) []Action {
 	b.actions = b.actions[:0]
 	b.heard(now, from)
+	b.learn(now, from, reason, key)
+	b.sendQueries(now)
+	return b.actions
+}
+
+// learn takes what an agent says of a flow.
+func (b *Balancer) learn(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, key hickorymodel.FlowKey) {
 	if reason == ReasonNotHeld || reason == ReasonUnknown {
 		b.answered(now, from, reason, key)
-		return b.actions
+		return
 	}
 	f := b.flow(now, key)
 	if f == nil {
-		return nil
+		return
 	}
 	switch {
 	case reason == ReasonOpen:
@@ -156,10 +167,10 @@
 		f.owner = from
 		f.stage = stageAnswered
 	default:
-		return nil
+		return
 	}
 	if reason == ReasonAnswered {
-		return nil
+		return
 	}
 	if s, ok := b.searches[key]; ok {
 		b.endSearch(key, s)
@@ -168,7 +179,6 @@
 			b.send(s.packet.Bytes, b.peer(from))
 		}
 	}
-	return b.actions
 }
 
 // heard notes a sign of life of an agent.
@@ -201,21 +211,33 @@
 // Tick does what is due.
 func (b *Balancer) Tick(now hickorymodel.Instant) []Action {
 	b.actions = b.actions[:0]
-	for _, p := range b.peers {
-		if !p.silent && p.waitingSince != 0 && now.Sub(p.waitingSince) > silenceLimit {
-			p.silent = true
-			b.decide(&Decision{Step: StepAgentSilent, Peer: p.endpoint, Upstream: p.upstream.ID})
-		}
-	}
+	b.noteSilence(now)
 	b.sayHello(now)
 	b.advanceSearches(now)
 	if now.Sub(b.sweptAt) >= sweepInterval {
 		b.sweptAt = now
 		b.sweep(now)
 	}
+	b.sendQueries(now)
 	return b.actions
 }
 
+// noteSilence notes which agents have left frames unanswered for too long.
+func (b *Balancer) noteSilence(now hickorymodel.Instant) {
+	gone := false
+	for _, p := range b.peers {
+		if p.silent || p.waitingSince == 0 || now.Sub(p.waitingSince) <= silenceLimit {
+			continue
+		}
+		p.silent = true
+		gone = gone || p.gone()
+		b.decide(&Decision{Step: StepAgentSilent, Peer: p.endpoint, Upstream: p.upstream.ID})
+	}
+	if gone {
+		b.dropGone(now)
+	}
+}
+
 // sayHello asks agents for reports that have not been heard lately.
 func (b *Balancer) sayHello(now hickorymodel.Instant) {
 	sent := 0
@@ -271,9 +293,10 @@
 	return listed > 0 && quiet && silent >= min(isolationAgents, listed)
 }
 
-// Searching reports whether a search waits to be widened.
+// Searching reports whether a search waits to be widened or queries wait to be
+// sent.
 func (b *Balancer) Searching() bool {
-	return b.widening > 0
+	return b.widening > 0 || len(b.queries) > 0
 }
 
 // Unconfirmed reports whether, since the last call, a search would have ended if
--- a/core/hickorysteering/fixture_test.go
+++ b/core/hickorysteering/fixture_test.go
@@ -22,6 +22,8 @@
 	balancerPort = 7100
 	// start is the time of the first event of each test.
 	start = hickorymodel.Instant(time.Hour)
+	// wallStart is the time of day of start.
+	wallStart = hickorymodel.WallTime(1_780_000_000_000)
 )
 
 var clubroom = hickorydirectory.HashService("clubroom")
--- a/core/hickorysteering/frame.go
+++ b/core/hickorysteering/frame.go
@@ -19,10 +19,12 @@
 	KindNotice
 	// KindReport tells a balancer the state of an upstream.
 	KindReport
-	// KindQuery asks an agent whether its upstream holds a flow.
+	// KindQuery asks an agent which flows its upstream holds.
 	KindQuery
 	// KindHello asks an agent for a report.
 	KindHello
+	// KindAnswers answers a query.
+	KindAnswers
 )
 
 // Reason qualifies a frame. The values are part of the format.
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -23,6 +23,7 @@
 	} else {
 		b.pass(now, p)
 	}
+	b.sendQueries(now)
 	return b.actions
 }
 
--- a/core/hickorysteering/pass.go
+++ b/core/hickorysteering/pass.go
@@ -31,13 +31,20 @@
 	b.heard(now, from)
 	if p.First {
 		b.refused(now, from, reason, p)
-		return b.actions
+	} else {
+		b.returned(now, from, reason, p)
 	}
+	b.sendQueries(now)
+	return b.actions
+}
+
+// returned handles a packet of an open flow that an agent sent back.
+func (b *Balancer) returned(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, p *Packet) {
 	f, known := b.flows[p.Flow]
 	held := known && f.owner == from && f.stage == stageOpen
 	if reason == ReasonEnded || held {
 		b.lose(from, reason, p)
-		return b.actions
+		return
 	}
 	if known && f.owner == from {
 		f.owner = hickorymodel.Endpoint{}
@@ -45,10 +52,9 @@
 	}
 	if known && !f.owner.IsZero() {
 		b.send(p.Bytes, b.peer(f.owner))
-		return b.actions
+		return
 	}
 	b.missed(now, from, p)
-	return b.actions
 }
 
 // lose ends a flow that its upstream held and holds no more, so that the caller
@@ -70,7 +76,7 @@
 	route := b.view.Routes[key.Destination]
 	for endpoint, p := range b.peers {
 		mayHold := p.holds(now, key.Destination) || serves(route, p)
-		if endpoint == except || !mayHold {
+		if endpoint == except || !mayHold || p.gone() {
 			continue
 		}
 		if p.listed && p.upstream.Zone == b.zone {
--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -82,6 +82,11 @@
 	return p.state == StateStopping || p.state == StateSilent
 }
 
+// gone reports whether an upstream that leaves has ended: its agent ends after it.
+func (p *peer) gone() bool {
+	return p.silent && p.upstream.Leaving
+}
+
 // holds reports whether the agent may hold flows to an address.
 func (p *peer) holds(now hickorymodel.Instant, address hickorymodel.SocketAddress) bool {
 	at, ok := p.addresses[address]
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"hickoryworks/core/hickorymodel"
-	"hickoryworks/schema/hickoryframe"
 )
 
 const (
@@ -13,9 +12,9 @@
 	searchLife = 10 * time.Second
 	// roundTime is how long the agents of one round are asked alone.
 	roundTime = 20 * time.Millisecond
-	// repeatTime is the shortest time between two packets of a flow that agents
-	// are asked with. It is longer than the first repeat of a caller, since the
-	// answers to a busy balancer may take as long.
+	// repeatTime is the time after which agents that have not answered are asked
+	// again. It is longer than the first repeat of a caller, since the answers to a
+	// busy balancer may take as long.
 	repeatTime = 550 * time.Millisecond
 	// exhaustedLife is how long a search that nobody has answered keeps a later
 	// packet from starting a new one.
@@ -44,9 +43,10 @@
 	// got it.
 	packet  Packet
 	carried []hickorymodel.Endpoint
-	// askedAt is when agents were last asked, asked how often.
-	askedAt hickorymodel.Instant
-	asked   int
+	// repeatedAt is when the agents that had not answered were last asked.
+	repeatedAt hickorymodel.Instant
+	// asked counts the frames of the search.
+	asked int
 }
 
 // search sends a packet of an unknown flow to the agents that may hold it.
@@ -59,9 +59,7 @@
 	if running {
 		s.packet = *p
 		s.carried = nil
-		if now.Sub(s.askedAt) > repeatTime {
-			b.repeat(now, s)
-		}
+		b.repeatLate(now, s)
 		return
 	}
 	if len(b.searches) >= maxSearches {
@@ -73,36 +71,32 @@
 		b.decide(&Decision{Step: StepUnknown, Flow: p.Flow})
 		return
 	}
-	s = &search{rounds: rounds, startedAt: now, packet: *p, seen: append(slices.Concat(rounds...), except)}
+	s = &search{rounds: rounds, startedAt: now, repeatedAt: now, packet: *p, seen: append(slices.Concat(rounds...), except)}
 	b.searches[p.Flow] = s
 	b.widening++
 	b.decide(&Decision{Step: StepSearched, Flow: p.Flow, Peer: except, Count: len(s.seen) - 1})
 	b.widen(now, s)
 }
 
-// repeat asks everyone who has not answered, since packets may be lost.
-func (b *Balancer) repeat(now hickorymodel.Instant, s *search) {
-	b.query(now, s, s.pending)
+// repeatLate asks everyone who has not answered for repeatTime, since packets may
+// be lost.
+func (b *Balancer) repeatLate(now hickorymodel.Instant, s *search) {
+	if now.Sub(s.repeatedAt) <= repeatTime {
+		return
+	}
+	s.repeatedAt = now
+	b.query(s, s.pending)
 	for len(s.rounds) > 0 {
 		b.widen(now, s)
 	}
 	b.askNew(now, s)
 }
 
-// query asks agents by the name of the flow, which takes a fraction of the bytes
-// of its packets and no work of upstreams.
-func (b *Balancer) query(now hickorymodel.Instant, s *search, agents []hickorymodel.Endpoint) {
-	s.askedAt = now
-	for _, endpoint := range agents {
-		s.asked++
-		b.peer(endpoint).sent(now)
-		action := frame(endpoint, KindQuery, ReasonNone, nil)
-		action.Verb = VerbQuery
-		action.Query = hickoryframe.Query{
-			Flow:     NoticeOf(s.packet.Flow),
-			IdleTime: uint32(b.view.IdleTimeout.Milliseconds()),
-		}
-		b.actions = append(b.actions, action)
+// dropGone ends the wait for agents that have ended with their upstreams.
+func (b *Balancer) dropGone(now hickorymodel.Instant) {
+	for _, s := range b.searches {
+		s.pending = slices.DeleteFunc(s.pending, func(endpoint hickorymodel.Endpoint) bool { return b.peer(endpoint).gone() })
+		b.finish(now, s)
 	}
 }
 
@@ -133,7 +127,6 @@
 // ask sends the packet itself to agents, whose upstreams return it if they do
 // not hold the flow.
 func (b *Balancer) ask(now hickorymodel.Instant, s *search, agents []hickorymodel.Endpoint) {
-	s.askedAt = now
 	for _, endpoint := range agents {
 		s.asked++
 		s.carried = append(s.carried, endpoint)
@@ -158,7 +151,7 @@
 		b.ask(now, s, next)
 		return
 	}
-	b.query(now, s, next)
+	b.query(s, next)
 }
 
 func (b *Balancer) endSearch(key hickorymodel.FlowKey, s *search) {
@@ -178,15 +171,20 @@
 	is := func(endpoint hickorymodel.Endpoint) bool { return endpoint == from }
 	s.pending = slices.DeleteFunc(s.pending, is)
 	s.uncertain = slices.DeleteFunc(s.uncertain, is)
-	if len(s.pending) > 0 {
+	if len(s.pending) == 0 && len(s.rounds) > 0 {
+		b.widen(now, s)
 		return
 	}
-	if len(s.rounds) > 0 {
-		b.widen(now, s)
+	b.finish(now, s)
+}
+
+// finish ends a search that has no agents left to ask or to wait for.
+func (b *Balancer) finish(now hickorymodel.Instant, s *search) {
+	if len(s.pending) > 0 || len(s.rounds) > 0 || s.exhausted {
 		return
 	}
 	s.exhausted = true
-	b.decide(&Decision{Step: StepNotFound, Flow: p.Flow, Count: s.asked})
+	b.decide(&Decision{Step: StepNotFound, Flow: s.packet.Flow, Count: s.asked})
 	b.conclude(now, s)
 }
 
@@ -199,7 +197,7 @@
 		s.seen = append(s.seen, endpoint)
 		s.pending = append(s.pending, endpoint)
 		s.exhausted = false
-		b.query(now, s, []hickorymodel.Endpoint{endpoint})
+		b.query(s, []hickorymodel.Endpoint{endpoint})
 	}
 }
 
@@ -226,7 +224,7 @@
 		return false
 	}
 	for _, p := range b.peers {
-		if !p.listed {
+		if !p.listed || p.gone() {
 			continue
 		}
 		old := !p.silent && now.Sub(p.reportedAt) > reportLife
@@ -241,12 +239,12 @@
 // ends those that nobody has answered.
 func (b *Balancer) advanceSearches(now hickorymodel.Instant) {
 	for _, s := range b.searches {
-		switch {
-		case s.exhausted:
+		if s.exhausted {
 			b.conclude(now, s)
-		case len(s.uncertain) > 0:
-			b.askUncertain(now, s)
-		case len(s.rounds) > 0 && now.Sub(s.roundAt) > roundTime:
+			continue
+		}
+		b.askUncertain(now, s)
+		if len(s.rounds) > 0 && now.Sub(s.roundAt) > roundTime {
 			b.widen(now, s)
 		}
 	}
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -216,6 +216,8 @@
 		from := pending[0]
 		seen[from]++
 		pending = append(pending[1:], targets(f.balancer.HandleReturn(f.now, from, hickorysteering.ReasonNotHeld, data()))...)
+		f.now = f.now.Add(hickorysteering.SearchTickInterval)
+		pending = append(pending, targets(f.balancer.Tick(f.now))...)
 	}
 	f.is.Equal(len(seen), 16)
 	for _, count := range seen {
@@ -349,3 +351,70 @@
 	f.balancer.SetView(f.now, f.view)
 	f.is.Equal(resets(f.balancer.Tick(f.now)), 1)
 }
+
+// TestGoneUpstreamEndsSearch guards against dead flows that wait for an agent
+// which has left with its upstream: after a power off on the grown arboleda-lb
+// (trouble-1) searches waited for five agents until the end of the day.
+func TestGoneUpstreamEndsSearch(t *testing.T) {
+	cases := []struct {
+		name    string
+		leaving bool
+		want    int
+	}{
+		{"the upstream has left", true, 1},
+		{"the upstream is listed", false, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, "a", "b")
+			f.balancer.Handle(f.now, data())
+			f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
+			f.view.Upstreams[1].Leaving, f.view.Upstreams[1].Accepting = c.leaving, !c.leaving
+			f.balancer.SetView(f.now, f.view)
+			sent := 0
+			for range 15 {
+				f.now = f.now.Add(100 * time.Millisecond)
+				f.confirmed = f.now
+				f.report(agent(0), hickorysteering.StateAccepting)
+				sent += resets(f.balancer.Tick(f.now))
+			}
+			f.is.Equal(sent, c.want)
+		})
+	}
+}
+
+// TestQueriesShareFrames guards against balancers that spend their processors on
+// queries after a power off: each of hundreds of searches asked some 50 agents
+// with frames of its own (trouble-2 of the grown arboleda-lb).
+func TestQueriesShareFrames(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	sent := 0
+	for port := range uint16(200) {
+		packet := data()
+		packet.Flow.Source.Port = port
+		f.balancer.Handle(f.now, packet)
+		sent += len(targets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, packet)))
+	}
+	f.is.Equal(sent, 1) // the first query of a quiet time does not wait
+	f.is.True(f.balancer.Searching())
+	f.now = f.now.Add(hickorysteering.SearchTickInterval)
+	frames, flows := 0, 0
+	for _, action := range f.balancer.Tick(f.now) {
+		frames++
+		flows += len(action.Flows)
+	}
+	f.is.Equal(flows, 199)
+	f.is.Equal(frames, 3)
+	f.is.True(!f.balancer.Searching())
+}
+
+// TestQueryNamesStartOfUpstream guards against agents that cannot tell whether
+// they have seen all flows.
+func TestQueryNamesStartOfUpstream(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.view.Upstreams[1].StartedAt = wallStart
+	f.balancer.SetView(f.now, f.view)
+	f.balancer.Handle(f.now, data())
+	queries := f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
+	f.is.Equal(queries[0].Query.StartedAt, uint64(wallStart))
+}
--- a/io/hickoryfabric/agent_decider.go
+++ b/io/hickoryfabric/agent_decider.go
@@ -71,7 +71,7 @@
 	}
 	kind := hickorysteering.Kind(d.frame.header.Kind)
 	if kind == hickorysteering.KindQuery {
-		d.perform(ctx, d.steering.HandleQuery(d.clock.Now(), frame.Peer, &d.frame.query))
+		d.perform(ctx, d.steering.HandleQuery(d.clock.Now(), frame.Peer, &d.frame.query, d.frame.flows))
 		return
 	}
 	var packet hickorysteering.Packet
--- a/io/hickoryfabric/balancer_decider.go
+++ b/io/hickoryfabric/balancer_decider.go
@@ -144,6 +144,8 @@
 		d.steering.HandleReport(now, frame.Peer, &d.frame.header, &d.frame.report, d.frame.addresses)
 	case hickorysteering.KindNotice:
 		d.perform(ctx, d.steering.HandleNotice(now, frame.Peer, reason, hickorysteering.FlowOf(d.frame.notice)))
+	case hickorysteering.KindAnswers:
+		d.perform(ctx, d.steering.HandleAnswers(now, frame.Peer, d.frame.answers))
 	case hickorysteering.KindReturn:
 		var packet hickorysteering.Packet
 		if err := d.translation.DecodePacket(d.frame.payload, &packet); err != nil {
--- a/io/hickoryfabric/codec.go
+++ b/io/hickoryfabric/codec.go
@@ -15,6 +15,8 @@
 	header    hickoryframe.Header
 	notice    hickoryframe.Notice
 	query     hickoryframe.Query
+	flows     []hickoryframe.Notice
+	answers   []hickoryframe.Answer
 	report    hickoryframe.Report
 	addresses []hickoryframe.Address
 	// payload is the packet of frames that carry one.
@@ -33,9 +35,9 @@
 			return errors.Wrap(errFrame, "short notice")
 		}
 	case hickorysteering.KindQuery:
-		if !frame.query.Get(rest) {
-			return errors.Wrap(errFrame, "short query")
-		}
+		return decodeQuery(rest, frame)
+	case hickorysteering.KindAnswers:
+		return decodeAnswers(rest, frame)
 	case hickorysteering.KindReport:
 		return decodeReport(rest, frame)
 	default:
@@ -44,6 +46,36 @@
 	return nil
 }
 
+func decodeQuery(data []byte, frame *decodedFrame) error {
+	if !frame.query.Get(data) {
+		return errors.Wrap(errFrame, "short query")
+	}
+	data = data[hickoryframe.QuerySize:]
+	if len(data)%hickoryframe.NoticeSize != 0 {
+		return errors.Wrap(errFrame, "length of a query")
+	}
+	frame.flows = frame.flows[:0]
+	for ; len(data) > 0; data = data[hickoryframe.NoticeSize:] {
+		var flow hickoryframe.Notice
+		flow.Get(data)
+		frame.flows = append(frame.flows, flow)
+	}
+	return nil
+}
+
+func decodeAnswers(data []byte, frame *decodedFrame) error {
+	if len(data)%hickoryframe.AnswerSize != 0 {
+		return errors.Wrap(errFrame, "length of answers")
+	}
+	frame.answers = frame.answers[:0]
+	for ; len(data) > 0; data = data[hickoryframe.AnswerSize:] {
+		var answer hickoryframe.Answer
+		answer.Get(data)
+		frame.answers = append(frame.answers, answer)
+	}
+	return nil
+}
+
 func decodeReport(data []byte, frame *decodedFrame) error {
 	if !frame.report.Get(data) {
 		return errors.Wrap(errFrame, "short report")
@@ -63,24 +95,29 @@
 
 // encodeFrame returns the datagram of an action.
 func encodeFrame(action *hickorysteering.Action) []byte {
-	data := make([]byte, hickoryframe.HeaderSize, hickoryframe.HeaderSize+frameSize(action))
+	data := make([]byte, hickoryframe.HeaderSize+frameSize(action))
 	action.Header.Put(data)
+	rest := data[hickoryframe.HeaderSize:]
 	switch action.Verb {
 	case hickorysteering.VerbNotice:
-		data = data[:hickoryframe.HeaderSize+hickoryframe.NoticeSize]
 		notice := hickorysteering.NoticeOf(action.Flow)
-		notice.Put(data[hickoryframe.HeaderSize:])
+		notice.Put(rest)
 	case hickorysteering.VerbQuery:
-		data = data[:hickoryframe.HeaderSize+hickoryframe.QuerySize]
-		action.Query.Put(data[hickoryframe.HeaderSize:])
+		action.Query.Put(rest)
+		for i := range action.Flows {
+			action.Flows[i].Put(rest[hickoryframe.QuerySize+i*hickoryframe.NoticeSize:])
+		}
+	case hickorysteering.VerbAnswers:
+		for i := range action.Answers {
+			action.Answers[i].Put(rest[i*hickoryframe.AnswerSize:])
+		}
 	case hickorysteering.VerbReport:
-		data = data[:hickoryframe.HeaderSize+frameSize(action)]
-		action.Report.Put(data[hickoryframe.HeaderSize:])
+		action.Report.Put(rest)
 		for i := range action.Addresses {
-			action.Addresses[i].Put(data[hickoryframe.HeaderSize+hickoryframe.ReportSize+i*hickoryframe.AddressSize:])
+			action.Addresses[i].Put(rest[hickoryframe.ReportSize+i*hickoryframe.AddressSize:])
 		}
 	default:
-		data = append(data, action.Payload...)
+		copy(rest, action.Payload)
 	}
 	return data
 }
@@ -91,7 +128,9 @@
 	case hickorysteering.VerbNotice:
 		return hickoryframe.NoticeSize
 	case hickorysteering.VerbQuery:
-		return hickoryframe.QuerySize
+		return hickoryframe.QuerySize + len(action.Flows)*hickoryframe.NoticeSize
+	case hickorysteering.VerbAnswers:
+		return len(action.Answers) * hickoryframe.AnswerSize
 	case hickorysteering.VerbReport:
 		return hickoryframe.ReportSize + len(action.Addresses)*hickoryframe.AddressSize
 	default:
--- a/schema/hickoryframe/frame_generated.go
+++ b/schema/hickoryframe/frame_generated.go
@@ -113,21 +113,21 @@
 }
 
 // QuerySize is the encoded size of a Query in bytes.
-const QuerySize = 16
+const QuerySize = 12
 
-// Query follows the header of a datagram that asks an agent whether its upstream holds a flow.
+// Query follows the header of a datagram that asks an agent which flows its upstream holds; the flows follow, each as a Notice.
 type Query struct {
-	// Flow is the flow asked for.
-	Flow Notice
 	// IdleTime is the time in milliseconds without packets after which a flow may be forgotten.
 	IdleTime uint32
+	// StartedAt is the published Unix millisecond of the upstream's start; 0 when it is not known.
+	StartedAt uint64
 }
 
 // Put writes the record to data, which must hold at least QuerySize bytes.
 func (r *Query) Put(data []byte) {
 	_ = data[QuerySize-1]
-	r.Flow.Put(data[0:])
-	binary.BigEndian.PutUint32(data[12:], r.IdleTime)
+	binary.BigEndian.PutUint32(data[0:], r.IdleTime)
+	binary.BigEndian.PutUint64(data[4:], r.StartedAt)
 }
 
 // Get reads the record from data and reports whether data was long enough.
@@ -135,8 +135,36 @@
 	if len(data) < QuerySize {
 		return false
 	}
+	r.IdleTime = binary.BigEndian.Uint32(data[0:])
+	r.StartedAt = binary.BigEndian.Uint64(data[4:])
+	return true
+}
+
+// AnswerSize is the encoded size of a Answer in bytes.
+const AnswerSize = 13
+
+// Answer is the answer for one flow of a Query; answers follow the header of a datagram until its end.
+type Answer struct {
+	// Flow is the flow asked for.
+	Flow Notice
+	// Reason says whether the upstream holds the flow.
+	Reason uint8
+}
+
+// Put writes the record to data, which must hold at least AnswerSize bytes.
+func (r *Answer) Put(data []byte) {
+	_ = data[AnswerSize-1]
+	r.Flow.Put(data[0:])
+	data[12] = r.Reason
+}
+
+// Get reads the record from data and reports whether data was long enough.
+func (r *Answer) Get(data []byte) bool {
+	if len(data) < AnswerSize {
+		return false
+	}
 	r.Flow.Get(data[0:])
-	r.IdleTime = binary.BigEndian.Uint32(data[12:])
+	r.Reason = data[12]
 	return true
 }
 
