Limit new flows by the room of each upstream

A balancer cannot know the load of an upstream: reports are up to 0.4 s old.

Change: the frame of a first packet names the number of unanswered requests up to which the upstream takes it: three for each slot, one more for routes whose published priority is above that of others of the service, one less for copies, which are 200 ms late already. The agent, which sees each request and its answer, sends the packet back otherwise, and the balancer passes the upstream over for 20 ms. When no upstream has room the next copy may find one; the last one is refused at once. One new flow in 100 ms is always let in, so that open flows do not starve new ones; requests without an answer count for 3 s.

--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -92,6 +92,31 @@
 	}
 }
 
+// TestUrgentRoutes guards the order of routes to one service when upstreams have
+// little room.
+func TestUrgentRoutes(t *testing.T) {
+	is := is.New(t)
+	route := func(address string, priority int, services ...string) hickorymessage.Route {
+		r := hickorymessage.Route{Name: address, Address: hickoryid.Endpoint(address), Priority: priority}
+		for _, name := range services {
+			r.Targets = append(r.Targets, hickorymessage.RouteTarget{Service: hickoryid.ServiceName(name), Weight: 1})
+		}
+		return r
+	}
+	d := hickorydirectory.New()
+	d.Apply(start, listing(9, hickorydirectory.Change{Table: &hickorymessage.RouteTable{
+		Version: 1, IdleTimeout: "15s",
+		Routes: []hickorymessage.Route{
+			route("198.51.100.1:1", 1, "clubroom"), route("198.51.100.1:2", 2, "clubroom", "packetdesk"), route("198.51.100.1:3", 2, "packetdesk"),
+		},
+	}}))
+	urgent := map[string]bool{}
+	for _, r := range d.View(start).Routes {
+		urgent[r.Name] = r.Urgent
+	}
+	is.Equal(urgent, map[string]bool{"198.51.100.1:1": true, "198.51.100.1:2": false, "198.51.100.1:3": false})
+}
+
 // TestUpstreamStates guards P8: who takes new flows after each kind of change.
 func TestUpstreamStates(t *testing.T) {
 	cases := []struct {
--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -43,6 +43,10 @@
 	Targets []Target
 	// WeightSum is the sum of the weights of Targets; 0 if there is none.
 	WeightSum int
+	// Priority is the published one; 0 is the highest.
+	Priority int
+	// Urgent is true when another route to one of the services has a lower priority.
+	Urgent bool
 }
 
 // Target is a service that gets a share of a route's new flows.
@@ -86,6 +90,7 @@
 		for i := range d.table.Routes {
 			view.addRoute(&d.table.Routes[i])
 		}
+		view.markUrgent()
 	}
 	newest := d.newestAtEndpoints()
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
@@ -115,7 +120,7 @@
 	if err != nil {
 		return
 	}
-	route := &Route{Name: published.Name}
+	route := &Route{Name: published.Name, Priority: published.Priority}
 	for _, target := range published.Targets {
 		if target.Weight > 0 {
 			route.Targets = append(route.Targets, Target{Service: HashService(target.Service), Weight: target.Weight})
@@ -125,6 +130,21 @@
 	v.Routes[hickorymodel.NewSocketAddress(endpoint.AddrPort())] = route
 }
 
+// markUrgent compares the priorities of routes to the same services.
+func (v *View) markUrgent() {
+	lowest := map[ServiceHash]int{}
+	for _, route := range v.Routes {
+		for _, target := range route.Targets {
+			lowest[target.Service] = max(lowest[target.Service], route.Priority)
+		}
+	}
+	for _, route := range v.Routes {
+		for _, target := range route.Targets {
+			route.Urgent = route.Urgent || route.Priority < lowest[target.Service]
+		}
+	}
+}
+
 func (d *Directory) upstream(now hickorymodel.Instant, record *upstreamRecord, service hickorymessage.RoutedService) Upstream {
 	zone := d.zones[record.listed.Zone]
 	upstream := Upstream{
--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -147,6 +147,10 @@
 		a.sendBack(from, ReasonStopping, p)
 		return
 	}
+	if !a.hasRoom(now, int(header.Room)) {
+		a.sendBack(from, ReasonBusy, p)
+		return
+	}
 	if reason, ok := a.gate.admit(now); !ok {
 		a.sendBack(from, reason, p)
 		return
@@ -164,6 +168,9 @@
 	if f := a.flow(now, p.Flow); f != nil {
 		f.balancer = from
 		f.callerEnded = f.callerEnded || p.Finish || p.Reset
+		if p.Reset {
+			a.setBusy(f, false)
+		}
 		if p.Data > 0 && !f.busy {
 			f.askedAt = now
 			a.setBusy(f, true)
--- a/core/hickorysteering/agent_gate.go
+++ b/core/hickorysteering/agent_gate.go
@@ -95,6 +95,16 @@
 	g.openings = append(g.openings[:0], g.openings[old:]...)
 }
 
+// opened returns the number of first packets delivered in the last time, which is
+// at most gateWindow.
+func (g *gate) opened(now hickorymodel.Instant, last time.Duration) int {
+	count := 0
+	for count < len(g.openings) && now.Sub(g.openings[len(g.openings)-1-count]) < last {
+		count++
+	}
+	return count
+}
+
 // answered notes a sign of life and reports whether the upstream was silent.
 func (g *gate) answered(now hickorymodel.Instant) bool {
 	g.unanswered = 0
--- a/core/hickorysteering/agent_report.go
+++ b/core/hickorysteering/agent_report.go
@@ -37,6 +37,7 @@
 }
 
 func (a *Agent) sweep(now hickorymodel.Instant) {
+	a.forgetRequests(now)
 	for key, f := range a.flows {
 		life := agentFlowLife
 		if f.callerEnded || f.upstreamEnded {
--- a/core/hickorysteering/choose.go
+++ b/core/hickorysteering/choose.go
@@ -52,7 +52,7 @@
 	var ranks topRanks
 	hash := key.Hash()
 	for _, p := range b.services[service] {
-		if !p.upstream.Accepting || tried.has(p.endpoint) {
+		if !p.upstream.Accepting || now.Before(p.busyUntil) || tried.has(p.endpoint) {
 			continue
 		}
 		cost := b.cost(now, p)
--- a/core/hickorysteering/frame.go
+++ b/core/hickorysteering/frame.go
@@ -56,6 +56,8 @@
 	ReasonPresumed
 	// ReasonUnknown answers a query: the agent has not run long enough to know.
 	ReasonUnknown
+	// ReasonBusy returns a first packet because enough requests wait already.
+	ReasonBusy
 )
 
 var reasonNames = map[Reason]string{
@@ -71,6 +73,7 @@
 	ReasonOpen:         "open",
 	ReasonPresumed:     "presumed",
 	ReasonUnknown:      "unknown",
+	ReasonBusy:         "busy",
 }
 
 // String returns the name for logs and metrics.
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -94,6 +94,9 @@
 	to.sent(now)
 	action := frame(to.endpoint, KindOpen, ReasonNone, p.Bytes)
 	action.Header.Service = uint32(to.upstream.Service)
+	if route := b.view.Routes[p.Flow.Destination]; route != nil {
+		action.Header.Room = room(to.upstream.Slots, route, p.Copy)
+	}
 	action.Header.RampRate = uint32(to.upstream.RampRate * rampRateUnit)
 	action.Header.RampTime = uint32(to.upstream.RampTime.Milliseconds())
 	if to.cold(now) {
@@ -122,6 +125,9 @@
 
 // refused handles a first packet that an agent sent back.
 func (b *Balancer) refused(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, p *Packet) {
+	if reason == ReasonBusy {
+		b.peer(from).busyUntil = now.Add(busyTime)
+	}
 	f, known := b.flows[p.Flow]
 	if known && (f.owner != from || f.stage != stageOpening) {
 		return // a late return; the flow has gone on elsewhere
--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -18,6 +18,9 @@
 	// addressLife is how long the addresses of a report count: the longest life
 	// of a flow, and some delay.
 	addressLife = 75 * time.Second
+	// busyTime is how long an upstream that had no room gets no new flows. A slot
+	// is free again after about the work of one request.
+	busyTime = 20 * time.Millisecond
 )
 
 // peer is what a balancer knows of one agent.
@@ -49,6 +52,9 @@
 	// unansweredAt is when a first packet was last given up on here.
 	unansweredAt hickorymodel.Instant
 	helloAt      hickorymodel.Instant
+	// busyUntil is until when the upstream is believed to have no room for new
+	// flows.
+	busyUntil hickorymodel.Instant
 	// addresses are the service addresses of the agent's open flows, with the
 	// time of the last report that named them.
 	addresses map[hickorymodel.SocketAddress]hickorymodel.Instant
--- /dev/null
+++ b/core/hickorysteering/room_test.go
@@ -0,0 +1,137 @@
+package hickorysteering_test
+
+import (
+	"testing"
+	"time"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/schema/hickoryframe"
+)
+
+// request opens a flow at the agent and delivers its request.
+func (s *side) request(port uint16) {
+	s.open(port, hickoryframe.Header{})
+	packet := data()
+	packet.Flow.Source.Port = port
+	s.agent.HandleFrame(s.now, balancer, &hickoryframe.Header{Kind: uint8(hickorysteering.KindData)}, packet)
+}
+
+// TestRoomOfUpstream guards against new flows at an upstream whose waiting
+// requests it would serve late or shed: after a power off on arboleda-lb
+// (scale-2) upstreams shed 1,091 requests, each after a wait of 60 ms or more.
+func TestRoomOfUpstream(t *testing.T) {
+	cases := []struct {
+		name    string
+		busy    int
+		room    uint8
+		after   time.Duration
+		admit   bool
+		prepare func(s *side)
+	}{
+		{"room left", 5, 6, 20 * time.Millisecond, true, nil},
+		{"no room", 6, 6, 20 * time.Millisecond, false, nil},
+		{"no limit", 60, 0, 20 * time.Millisecond, true, nil},
+		{"new flows whose requests are on their way", 0, 6, 10 * time.Millisecond, false, func(s *side) {
+			for port := range uint16(6) {
+				s.open(100+port, hickoryframe.Header{})
+			}
+		}},
+		{"no new flow for a time", 6, 6, 150 * time.Millisecond, true, nil},
+		{"requests that are never answered", 6, 6, 4 * time.Second, true, func(s *side) { s.now = s.now.Add(-time.Second) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSide(t)
+			for port := range c.busy {
+				s.request(uint16(port))
+			}
+			if c.prepare != nil {
+				c.prepare(s)
+			}
+			s.now = s.now.Add(c.after)
+			s.answer(hickorysteering.Packet{Answer: true}) // a sign of life
+			s.agent.Tick(s.now)
+			actions := s.open(1000, hickoryframe.Header{Room: c.room})
+			s.is.Equal(actions[0].Verb == hickorysteering.VerbDeliver, c.admit)
+			if !c.admit {
+				s.is.Equal(s.reason(actions), hickorysteering.ReasonBusy)
+			}
+		})
+	}
+}
+
+// TestLostRequestsAreForgotten guards against an agent that refuses new flows for
+// good, because requests without an answer count for the life of their flows.
+func TestLostRequestsAreForgotten(t *testing.T) {
+	s := newSide(t)
+	s.request(1)
+	s.is.Equal(s.agent.Busy(), 1)
+	s.now = s.now.Add(3500 * time.Millisecond)
+	s.agent.Tick(s.now)
+	s.is.Equal(s.agent.Busy(), 0)
+}
+
+// TestRoomOfFrame guards the order in which flows find room: urgent routes first,
+// copies last.
+func TestRoomOfFrame(t *testing.T) {
+	cases := []struct {
+		name   string
+		urgent bool
+		copies uint32
+		want   uint8
+	}{
+		{"fresh", false, 0, 6},
+		{"copy", false, 1, 4},
+		{"urgent", true, 0, 8},
+		{"urgent copy", true, 2, 6},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, "a")
+			f.view.Routes[service].Urgent = c.urgent
+			f.is.Equal(f.balancer.Handle(f.now, first(c.copies))[0].Header.Room, c.want)
+		})
+	}
+}
+
+// TestBusyUpstreamIsPassedOver guards against balancers that offer each first
+// packet to all upstreams although they have just said that they have no room,
+// and against a refusal while a copy may still find room.
+func TestBusyUpstreamIsPassedOver(t *testing.T) {
+	f := newFixture(t, "a", "a")
+	tried := targets(f.balancer.Handle(f.now, first(0)))[0]
+	other := targets(f.balancer.HandleReturn(f.now, tried, hickorysteering.ReasonBusy, first(0)))
+	f.is.Equal(len(other), 1)
+	f.is.True(other[0] != tried)
+	f.is.Equal(len(f.balancer.HandleReturn(f.now, other[0], hickorysteering.ReasonBusy, first(0))), 0)
+	f.is.Equal(f.lastStep(), hickorysteering.StepWaited)
+
+	another := first(0)
+	another.Flow.Source.Port++
+	f.is.Equal(len(f.balancer.Handle(f.now, another)), 0) // nobody is asked
+	f.now = f.now.Add(25 * time.Millisecond)
+	another.Flow.Source.Port++
+	f.is.Equal(len(targets(f.balancer.Handle(f.now, another))), 1)
+}
+
+// TestLastCopyWithoutRoomIsRefused guards against callers that wait for nothing.
+func TestLastCopyWithoutRoomIsRefused(t *testing.T) {
+	f := newFixture(t, "a")
+	f.balancer.Handle(f.now, first(0))
+	f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonBusy, first(0))
+	f.now = f.now.Add(600 * time.Millisecond)
+	f.is.Equal(targets(f.balancer.Handle(f.now, first(2))), []hickorymodel.Endpoint{agent(0)})
+	f.is.Equal(resets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonBusy, first(2))), 1)
+}
+
+// TestFrameWithoutRoute guards the copies of a first packet whose route was
+// dropped in between: they go on without a limit.
+func TestFrameWithoutRoute(t *testing.T) {
+	f := newFixture(t, "a")
+	f.balancer.Handle(f.now, first(0))
+	f.view.Routes = map[hickorymodel.SocketAddress]*hickorydirectory.Route{}
+	f.balancer.SetView(f.now, f.view)
+	f.is.Equal(f.balancer.Handle(f.now, first(0))[0].Header.Room, uint8(0))
+}
--- a/schema/hickoryframe/frame_generated.go
+++ b/schema/hickoryframe/frame_generated.go
@@ -15,8 +15,8 @@
 	Kind uint8
 	// Reason says why a packet was returned, or how certain a notice is.
 	Reason uint8
-	// Reserved is zero.
-	Reserved uint8
+	// Room is the number of unanswered requests from which on the upstream gets no such flow; 0 stands for no limit.
+	Room uint8
 	// Service is the hash of the service's name.
 	Service uint32
 	// RampRate is the number of new flows in 1000 seconds that the upstream bears in cold start; 0 stands for no limit.
@@ -33,7 +33,7 @@
 	data[0] = r.Version
 	data[1] = r.Kind
 	data[2] = r.Reason
-	data[3] = r.Reserved
+	data[3] = r.Room
 	binary.BigEndian.PutUint32(data[4:], r.Service)
 	binary.BigEndian.PutUint32(data[8:], r.RampRate)
 	binary.BigEndian.PutUint32(data[12:], r.ColdTime)
@@ -48,7 +48,7 @@
 	r.Version = data[0]
 	r.Kind = data[1]
 	r.Reason = data[2]
-	r.Reserved = data[3]
+	r.Room = data[3]
 	r.Service = binary.BigEndian.Uint32(data[4:])
 	r.RampRate = binary.BigEndian.Uint32(data[8:])
 	r.ColdTime = binary.BigEndian.Uint32(data[12:])
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -186,6 +186,9 @@
 	// Name corresponds to the JSON schema field "name".
 	Name string `json:"name" yaml:"name"`
 
+	// Priority is that of the requests; lower numbers go first.
+	Priority int `json:"priority,omitempty,omitzero" yaml:"priority,omitempty"`
+
 	// Targets corresponds to the JSON schema field "targets".
 	Targets []RouteTarget `json:"targets" yaml:"targets"`
 }
@@ -298,6 +301,9 @@
 	if utf8.RuneCountInString(string(plain.Name)) > 256 {
 		return fmt.Errorf("field %s length: must be <= %d", "name", 256)
 	}
+	if v, ok := raw["priority"]; !ok || v == nil {
+		plain.Priority = 0
+	}
 	if len(plain.Targets) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "targets", 64)
 	}
