Count no silence after a zone's return, and redirect nothing that waited in a pause

(1) Seeds 36 and 144: agents of a zone that has just returned confirm to each other that an owner is silent; the owner lives, but its older table excludes their zone, so it sends them neither notices nor replies.

Change: (1) an agent says nothing about the silence of others for 11 s, in which a change is in force everywhere, and a notice's time after its own zone's return; (2) a packet that may be new and arrives right after a pause is dropped before redirect entries are looked at, not after.

--- a/core/hickoryflow/silence.go
+++ b/core/hickoryflow/silence.go
@@ -12,6 +12,11 @@
 // confirm its silence. A living agent sends a load notice every noticeRefresh.
 const unheardTime = noticeRefresh + time.Second
 
+// returnTime is how long after the return of the own zone the silence of others
+// says nothing. A change is in force everywhere within 11 s; an agent that does not
+// know of the return yet sends no notices and answers no queries.
+const returnTime = 11*time.Second + unheardTime
+
 // believedDead reports whether the silence of a candidate counts as not owning a
 // flow: it is suspected, or neither the own agent nor any other that answered
 // has heard from it. The silence towards the own agent alone may be a partition,
@@ -74,6 +79,9 @@
 	if t.isSelf(endpoint) || !t.accepting(t.service) {
 		return false
 	}
+	if t.returnedAt != 0 && now.Sub(t.returnedAt) < returnTime {
+		return false
+	}
 	if now.Sub(t.startedAt) < unheardTime || len(t.service.Upstreams) > maxNoticePeers {
 		return false
 	}
--- a/core/hickoryflow/tracker.go
+++ b/core/hickoryflow/tracker.go
@@ -39,6 +39,9 @@
 	stopping bool
 	// ownExcluded is true while the own zone is out of service.
 	ownExcluded bool
+	// returnedAt is when the own zone last came back into service; 0 if it never
+	// left.
+	returnedAt hickorymodel.Instant
 	// excluded holds the agents of the service whose zones are out of service.
 	excluded map[hickorymodel.Endpoint]struct{}
 	// zones holds the zones of the agents that a section has named, at most maxZones.
@@ -219,6 +222,12 @@
 		t.claim(now, p)
 		return
 	}
+	if p.mayBeNew() && now.Before(t.backlogEnd) {
+		// It may have waited here, and another agent may have the flow by now. What
+		// was known of its owner before the pause is as old.
+		t.drop(p, hickorymessage.DropReasonOwnerUnknown)
+		return
+	}
 	if owner, ok := t.ownerFor(now, p); ok && owner != p.From {
 		t.redirect(now, p, owner)
 		return
@@ -232,10 +241,6 @@
 		t.walk(p)
 		return
 	}
-	if now.Before(t.backlogEnd) {
-		t.drop(p, hickorymessage.DropReasonOwnerUnknown)
-		return
-	}
 	t.markOutdated(now, p)
 	t.avoidUnheard(now, p)
 	t.evictLapsed(now)
--- a/core/hickoryflow/zone.go
+++ b/core/hickoryflow/zone.go
@@ -34,7 +34,11 @@
 	}
 	t.redirects.removeOwners(t.excluded)
 	t.askers.removeOwners(t.excluded)
+	wasExcluded := t.ownExcluded
 	_, t.ownExcluded = t.excluded[t.self]
+	if wasExcluded && !t.ownExcluded {
+		t.returnedAt = t.calledAt
+	}
 	if t.ownExcluded {
 		t.endFlows(func(*record) bool { return true })
 	}
--- a/core/hickoryscenario/random_test.go
+++ b/core/hickoryscenario/random_test.go
@@ -38,7 +38,7 @@
 			skipKnownRed(t)
 			t.Parallel()
 			s := newSchedule(seed)
-			s.run(actions(s))
+			s.run(actions(s), *randomSteps)
 			err := s.w.log.check()
 			if err == nil && survival {
 				err = s.w.log.checkSurvival()
@@ -50,6 +50,30 @@
 	}
 }
 
+// TestRandomRegressions keeps schedules of random faults that have failed.
+func TestRandomRegressions(t *testing.T) {
+	cases := []struct {
+		cause string
+		seed  uint64
+		steps int
+	}{
+		{"agents of a returned zone took the silence of an owner that did not know of the return for its death", 36, 20},
+		{"the same, with another owner", 144, 20},
+		{"the same, later in the schedule", 36, 30},
+		{"an agent sent a first packet that had waited for it after a redirect entry from before its pause", 5, 30},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("seed%d-%d", c.seed, c.steps), func(t *testing.T) {
+			t.Parallel()
+			s := newSchedule(c.seed)
+			s.run(append(s.planned(), s.faults()...), c.steps)
+			if err := s.w.log.check(); err != nil {
+				t.Fatalf("%s: %v\n%s", c.cause, err, strings.Join(s.done, "\n"))
+			}
+		})
+	}
+}
+
 // schedule draws actions and keeps what is needed to undo them.
 type schedule struct {
 	w *world
@@ -86,8 +110,9 @@
 	s.live = append(s.live, name)
 }
 
-func (s *schedule) run(actions []func()) {
-	for range *randomSteps {
+// run takes a number of actions drawn from a list.
+func (s *schedule) run(actions []func(), steps int) {
+	for range steps {
 		s.traffic()
 		actions[s.w.random.IntN(len(actions))]()
 		s.w.wait(time.Duration(500+s.w.random.IntN(5000)) * time.Millisecond)
