Refuse empty documents and print errors without stack traces

"hickoryctl validate" called an empty file "0 sections, no problems"; go.mod could drift without a failing check. Seen besides: a daemon whose settings file is missing printed 14 lines of call stack, because the command line's library formats errors with all they carry and ends the process before Main does.

Change: a document without sections is refused with exit 2 (it says nothing, so accepting it helps nobody); errors of refused files and arguments are passed on as text and Main prints them behind the program's name; "make test" runs go mod tidy -diff.

TestErrorsAreLeftToMain and validate.txtar fail without the change.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-.PHONY: test demo generate check-generated lint vet unit capacity
+.PHONY: test demo generate check-generated check-modules lint vet unit capacity
 
 LINT = go tool -modfile=tools/lint/go.mod golangci-lint
 
-test: check-generated vet lint unit
+test: check-generated check-modules vet lint unit
 
 generate:
 	./schema/generate.sh
@@ -10,6 +10,9 @@
 check-generated:
 	./schema/check.sh
 
+check-modules:
+	go mod tidy -diff
+
 vet:
 	go vet ./...
 
--- a/cmd/hickory-agent/datagram_only.go
+++ b/cmd/hickory-agent/datagram_only.go
@@ -6,7 +6,6 @@
 	"context"
 
 	"github.com/pkg/errors"
-	"github.com/urfave/cli/v3"
 
 	"hickoryworks/io/hickoryprogram"
 )
@@ -14,5 +13,5 @@
 // runEncapsulated refuses settings of other fabrics: this build leaves out what
 // a datagram fabric does not need, so that it starts quickly.
 func runEncapsulated(_ context.Context, path string) error {
-	return cli.Exit(errors.Errorf("settings %s name no fabric, and this build runs on a datagram fabric only", path), hickoryprogram.ExitInvalid)
+	return hickoryprogram.Refuse(errors.Errorf("settings %s name no fabric, and this build runs on a datagram fabric only", path))
 }
--- a/io/hickoryctl/tool.go
+++ b/io/hickoryctl/tool.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"hickoryworks/io/hickoryprogram"
 	"hickoryworks/io/hickoryrpc"
 	"hickoryworks/io/hickorywatch"
 	"hickoryworks/schema/hickoryid"
@@ -56,6 +57,7 @@
 		Name:                  "hickoryctl",
 		Usage:                 "read the state of hickoryworks and check its document",
 		EnableShellCompletion: true,
+		ExitErrHandler:        hickoryprogram.LeaveErrors,
 		Writer:                t.out,
 		Flags: []cli.Flag{
 			&cli.StringFlag{
--- a/io/hickoryctl/validate.go
+++ b/io/hickoryctl/validate.go
@@ -43,7 +43,10 @@
 func (t *Tool) validate(command *cli.Command, path string) error {
 	sections, err := readDocument(path)
 	if err != nil {
-		return cli.Exit(err, hickoryprogram.ExitInvalid)
+		return hickoryprogram.Refuse(err)
+	}
+	if len(sections) == 0 {
+		return cli.Exit(path+" has no sections", hickoryprogram.ExitInvalid)
 	}
 	result := validation{File: path, Sections: sections, Refused: refusals(sections)}
 	if err := t.write(command, result, result.print); err != nil {
--- /dev/null
+++ b/io/hickoryprogram/command_test.go
@@ -0,0 +1,26 @@
+package hickoryprogram_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"hickoryworks/io/hickoryprogram"
+)
+
+// TestErrorsAreLeftToMain guards against stack traces in front of an operator's
+// error message, and against a library that ends the process before Main does.
+func TestErrorsAreLeftToMain(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	command := hickoryprogram.Command("daemon", "test", func(context.Context, string) error {
+		return hickoryprogram.Refuse(errors.New("settings are invalid"))
+	})
+	command.Writer, command.ErrWriter = &output, &output
+	err := command.Run(t.Context(), []string{"daemon", "--settings", "file"})
+	is.Equal(err.Error(), "settings are invalid")
+	is.Equal(output.String(), "")
+}
--- a/io/hickoryprogram/fabric.go
+++ b/io/hickoryprogram/fabric.go
@@ -5,7 +5,6 @@
 	"os"
 
 	"github.com/pkg/errors"
-	"github.com/urfave/cli/v3"
 	"gopkg.in/yaml.v3"
 
 	"hickoryworks/io/hickorystrict"
@@ -17,7 +16,7 @@
 func NamesFabric(path string) (bool, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
-		return false, cli.Exit(errors.Wrap(err, "read settings"), ExitInvalid)
+		return false, Refuse(errors.Wrap(err, "read settings"))
 	}
 	var keys struct {
 		Fabric any `yaml:"fabric"`
@@ -32,10 +31,10 @@
 func ReadFabricSettings(path string, target json.Unmarshaler) error {
 	content, err := os.ReadFile(path)
 	if err != nil {
-		return cli.Exit(errors.Wrap(err, "read settings"), ExitInvalid)
+		return Refuse(errors.Wrap(err, "read settings"))
 	}
 	if err := hickorystrict.Decode(content, target); err != nil {
-		return cli.Exit(errors.Wrapf(err, "settings %s are invalid", path), ExitInvalid)
+		return Refuse(errors.Wrapf(err, "settings %s are invalid", path))
 	}
 	return nil
 }
