Pass over upstreams that fail requests

Change: the agent counts the outcomes of requests over one to two seconds: answers with a fault, flows that the upstream breaks off, requests without an answer for 1 s, and refusals for want of room while slots are free. From 4 failures and a quarter of the requests on its reports say "failing", and balancers pass the upstream over while no more than a third of the service's upstreams fail. It recovers by its open flows, or when the failures are forgotten. The adapter tells from the first bytes of an answer what it is; nothing is reassembled.

Ruled out: health checks (they are what lies, and each costs a price), resets of the open flows (they may serve), and refusals of the agent itself (when all fail, some service is better than none).

--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -62,9 +62,12 @@
 	startedAt   hickorymodel.Instant
 	startedWall hickorymodel.WallTime
 	gate        gate
+	health      health
 	// flows has at most maxAgentFlows entries; busy of them are busy.
 	flows map[hickorymodel.FlowKey]*agentFlow
 	busy  int
+	// room is the largest room that a frame has named; 0 while none has.
+	room int
 	// waiting are the flows with waitingSince, and some that have lost it.
 	waiting []hickorymodel.FlowKey
 	// upstreamAt is when the upstream last sent anything; 0 for never.
@@ -147,6 +150,7 @@
 		a.sendBack(from, ReasonStopping, p)
 		return
 	}
+	a.room = max(a.room, int(header.Room))
 	if !a.hasRoom(now, int(header.Room)) {
 		a.sendBack(from, ReasonBusy, p)
 		return
@@ -173,6 +177,7 @@
 		}
 		if p.Data > 0 && !f.busy {
 			f.askedAt = now
+			f.late = false
 			a.setBusy(f, true)
 		}
 		a.hand(from, p)
--- a/core/hickorysteering/agent_flow.go
+++ b/core/hickorysteering/agent_flow.go
@@ -19,6 +19,8 @@
 	// waitingSince is when the first packet was delivered of which it is not
 	// known whether the upstream holds its flow; 0 for none.
 	waitingSince hickorymodel.Instant
+	// late is true once the request counts as failed, because it is unanswered.
+	late bool
 	// askedAt is when the oldest unanswered request was delivered.
 	askedAt hickorymodel.Instant
 }
--- a/core/hickorysteering/agent_report.go
+++ b/core/hickorysteering/agent_report.go
@@ -15,6 +15,9 @@
 		a.decided(&Decision{Step: StepUpstreamSilent, Count: a.gate.unanswered})
 		a.reportAll(now)
 	}
+	if a.health.tick(now) {
+		a.noteHealth(now)
+	}
 	interval := max(reportInterval, time.Second*time.Duration(len(a.balancers))/maxReportRate)
 	for endpoint, balancer := range a.balancers {
 		if now.Sub(balancer.heardAt) > balancerLife {
@@ -36,8 +39,18 @@
 	return a.actions
 }
 
+// noteHealth tells the balancers that the upstream began or ceased to fail.
+func (a *Agent) noteHealth(now hickorymodel.Instant) {
+	step := StepUpstreamRecovered
+	if a.health.failing {
+		step = StepUpstreamFailing
+	}
+	a.decided(&Decision{Step: step, Count: a.health.current.failed + a.health.previous.failed})
+	a.reportAll(now)
+}
+
 func (a *Agent) sweep(now hickorymodel.Instant) {
-	a.forgetRequests(now)
+	a.followRequests(now)
 	for key, f := range a.flows {
 		life := agentFlowLife
 		if f.callerEnded || f.upstreamEnded {
@@ -77,6 +90,8 @@
 		return StateStopping
 	case a.gate.silent:
 		return StateSilent
+	case a.health.failing:
+		return StateFailing
 	default:
 		return StateAccepting
 	}
--- a/core/hickorysteering/agent_room.go
+++ b/core/hickorysteering/agent_room.go
@@ -17,6 +17,12 @@
 	requestLife = 3 * time.Second
 )
 
+// idle reports whether the upstream has a slot for each unanswered request, so that
+// it has no reason to shed one.
+func (a *Agent) idle() bool {
+	return a.busy*requestsPerSlot <= a.room
+}
+
 // hasRoom reports whether a new flow may be opened beside the unanswered
 // requests, of which there may be room; 0 stands for no limit.
 func (a *Agent) hasRoom(now hickorymodel.Instant, room int) bool {
@@ -25,12 +31,3 @@
 	}
 	return a.gate.opened(now, starvationTime) == 0
 }
-
-// forgetRequests ends the count of requests that are not answered.
-func (a *Agent) forgetRequests(now hickorymodel.Instant) {
-	for _, f := range a.flows {
-		if f.busy && now.Sub(f.askedAt) > requestLife {
-			a.setBusy(f, false)
-		}
-	}
-}
--- a/core/hickorysteering/agent_upstream.go
+++ b/core/hickorysteering/agent_upstream.go
@@ -43,8 +43,7 @@
 	key := reverse(p.Flow)
 	if p.Reset {
 		if f, ok := a.flows[key]; ok {
-			a.setBusy(f, false)
-			f.upstreamEnded = true
+			a.noteBreak(now, f)
 		}
 		return
 	}
@@ -58,7 +57,7 @@
 		if f.busy {
 			a.answerTime(now.Sub(f.askedAt))
 		}
-		a.setBusy(f, false)
+		a.noteAnswer(now, f, p.Failed || (p.Shed && a.idle()))
 	}
 	reason := ReasonOpen
 	if p.Answer {
--- a/core/hickorysteering/choose.go
+++ b/core/hickorysteering/choose.go
@@ -26,6 +26,9 @@
 	// others have room: a balancer that does not know it yet would not find them.
 	// It is longer than an answer of a store that is 60 times as slow as usual.
 	settleTime = 400 * time.Millisecond
+	// maxFailingShare is the share of a service's upstreams up to which failing ones
+	// are passed over.
+	maxFailingShare = 0.34
 	// tieLoad bounds the random number that separates equal loads.
 	tieLoad = 0.02
 )
@@ -48,6 +51,7 @@
 // ranks of the own zone, so that other balancers know where to search first.
 // Upstreams that look dead are used only when no other is left.
 func (b *Balancer) choose(now hickorymodel.Instant, key hickorymodel.FlowKey, service hickorydirectory.ServiceHash, tried *triedList) (*peer, float64) {
+	avoidFailing := b.avoidsFailing(now, service)
 	var local, remote, fresh, doubtful candidate
 	var ranks topRanks
 	hash := key.Hash()
@@ -57,7 +61,7 @@
 		}
 		cost := b.cost(now, p)
 		switch {
-		case b.doubts(now, p):
+		case b.doubts(now, p) || (avoidFailing && p.failing(now)):
 			doubtful.offer(p, cost)
 		case now.Sub(p.listedAt) < settleTime:
 			fresh.offer(p, cost)
@@ -101,6 +105,22 @@
 	return best
 }
 
+// avoidsFailing reports whether upstreams that fail requests are passed over. When
+// many of a service fail, the others could not bear their load.
+func (b *Balancer) avoidsFailing(now hickorymodel.Instant, service hickorydirectory.ServiceHash) bool {
+	accepting, failing := 0, 0
+	for _, p := range b.services[service] {
+		if !p.upstream.Accepting {
+			continue
+		}
+		accepting++
+		if p.failing(now) {
+			failing++
+		}
+	}
+	return failing > 0 && float64(failing) <= maxFailingShare*float64(accepting)
+}
+
 // doubts reports whether an upstream or its agent may not answer.
 func (b *Balancer) doubts(now hickorymodel.Instant, p *peer) bool {
 	unanswered := p.unansweredAt != 0 && now.Sub(p.unansweredAt) < unansweredLife
--- a/core/hickorysteering/decision.go
+++ b/core/hickorysteering/decision.go
@@ -40,6 +40,10 @@
 	// StepUpstreamSilent and StepUpstreamHeard change what is believed of an upstream.
 	StepUpstreamSilent Step = "upstreamSilent"
 	StepUpstreamHeard  Step = "upstreamHeard"
+	// StepUpstreamFailing and StepUpstreamRecovered change what an agent believes of
+	// the requests of its upstream.
+	StepUpstreamFailing   Step = "upstreamFailing"
+	StepUpstreamRecovered Step = "upstreamRecovered"
 	// StepUpstreamCold starts the limit of a cold start that the agent found itself.
 	StepUpstreamCold Step = "upstreamCold"
 )
--- a/core/hickorysteering/frame.go
+++ b/core/hickorysteering/frame.go
@@ -96,4 +96,6 @@
 	StateStopping
 	// StateSilent belongs to an upstream that answers no first packets.
 	StateSilent
+	// StateFailing belongs to an upstream that fails a share of its requests.
+	StateFailing
 )
--- a/core/hickorysteering/packet.go
+++ b/core/hickorysteering/packet.go
@@ -23,6 +23,10 @@
 	// Sequence and Acknowledged are the packet's positions in the byte streams.
 	Sequence     uint32
 	Acknowledged uint32
+	// Failed is true when the packet begins an answer that tells of a failure.
+	Failed bool
+	// Shed is true when the packet begins an answer of an upstream without room.
+	Shed bool
 	// Data is the number of bytes that the packet carries.
 	Data int
 	// Bytes is the whole packet as it was received.
--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -93,6 +93,12 @@
 	return p.silent && p.upstream.Leaving
 }
 
+// failing reports whether the agent's last report says that the upstream fails
+// requests.
+func (p *peer) failing(now hickorymodel.Instant) bool {
+	return p.state == StateFailing && now.Sub(p.reportedAt) <= reportLife
+}
+
 // holds reports whether the agent may hold flows to an address.
 func (p *peer) holds(now hickorymodel.Instant, address hickorymodel.SocketAddress) bool {
 	at, ok := p.addresses[address]
--- a/io/hickoryfabric/recorder.go
+++ b/io/hickoryfabric/recorder.go
@@ -44,6 +44,9 @@
 	hickorysteering.StepUpstreamSilent: hickoryevent.UpstreamSilent,
 	hickorysteering.StepUpstreamHeard:  hickoryevent.UpstreamHeard,
 	hickorysteering.StepUpstreamCold:   hickoryevent.UpstreamRestarted,
+
+	hickorysteering.StepUpstreamFailing:   hickoryevent.UpstreamFailing,
+	hickorysteering.StepUpstreamRecovered: hickoryevent.UpstreamRecovered,
 }
 
 // recorder counts and logs decisions. One goroutine uses it.
--- a/schema/hickoryevent/event_generated.go
+++ b/schema/hickoryevent/event_generated.go
@@ -123,6 +123,10 @@
 	UpstreamHeard = Event{Number: 1523, Name: "UpstreamHeard", Level: "info", Text: "upstream answers again"}
 	// UpstreamRestarted: The upstream returned a packet of a flow that it used a moment ago.
 	UpstreamRestarted = Event{Number: 1524, Name: "UpstreamRestarted", Level: "warn", Text: "upstream has lost open flows; new flows are limited as in a cold start"}
+	// UpstreamFailing: Of the requests of the last seconds, more than the share given in docs/platform.md were answered with an error, broken off or not answered.
+	UpstreamFailing = Event{Number: 1525, Name: "UpstreamFailing", Level: "warn", Text: "upstream fails requests"}
+	// UpstreamRecovered: The share of failed requests has fallen.
+	UpstreamRecovered = Event{Number: 1526, Name: "UpstreamRecovered", Level: "info", Text: "upstream serves requests again"}
 	// StoreLost: A call of the store failed; what is known stays in force, and other balancers are asked.
 	StoreLost = Event{Number: 1530, Name: "StoreLost", Level: "warn", Text: "store does not answer"}
 	// StoreRegained: A call of the store succeeded after a failed one.
