Read settings again when their file changes without a signal

Cause: left open before: the file may change without SIGHUP, and a balancer then kept its old seeds until the next start.

Notifications of the system (inotify) are not to be had on the machines.

TestReloads fails in "change without a signal" and "removed file" without the watch.

--- a/cmd/hickory-agent/fabric.go
+++ b/cmd/hickory-agent/fabric.go
@@ -14,7 +14,8 @@
 
 // runOnFabric runs on a datagram fabric.
 func runOnFabric(ctx context.Context, path string) error {
-	reloads := hickoryprogram.NotifyReloads()
+	reloads := hickoryprogram.WatchReloads(ctx, path)
+	defer func() { _ = reloads.Close() }() // it ends without an error
 	settings, err := readAgent(path)
 	if err != nil {
 		return err
@@ -31,7 +32,7 @@
 		Drain:   agent.Drain,
 		Close:   agent.Close,
 		Reload:  func() { agent.Reload(readAgent(path)) },
-		Reloads: reloads,
+		Reloads: reloads.Items(),
 	}, logger)
 }
 
--- a/io/hickoryprogram/daemon.go
+++ b/io/hickoryprogram/daemon.go
@@ -28,15 +28,7 @@
 	// Reload takes changed settings at each value of Reloads. Without Reloads,
 	// SIGHUP keeps the effect that it had at the start.
 	Reload  func()
-	Reloads <-chan os.Signal
-}
-
-// NotifyReloads returns a channel that gets SIGHUP from now on. A daemon calls it
-// before anything else, since the signal may come while it starts.
-func NotifyReloads() <-chan os.Signal {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	return reloads
+	Reloads <-chan struct{}
 }
 
 // Run starts a daemon and waits for a signal. The first signal starts a
