--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -115,6 +115,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t, "a")
 			f.addOtherService()
+			f.now = f.now.Add(5 * time.Millisecond)
 			f.report(agent(8), hickorysteering.StateAccepting)
 			f.now = f.now.Add(time.Second)
 			f.confirmed = f.now
