Find flows of restarted balancers in the first round

Of 8,309 searches of seconds 8 to 32 19% ended in the first round, and 2% took more than 0.6 s. (1) Upstreams carried more than 0.75 requests for each slot, and above that limit flows went to any upstream of the zone, not to the first ranks, which are searched first. (2) The upstream got the packet of the search, but its agent did not answer: it had told a balancer at that endpoint before, and did not know that another process is there now. Packets of the flow waited for a repeat.

Change: (1) the first ranks also get flows while their load is at most a request of three slots above the lowest of the zone; (2) packets of a search are marked, and the agent answers a marked one whatever it has told before. Ruled out: lost answers.

Tests that fail without the change: TestSearchOfBusyService, TestSeekingBalancerIsToldAgain, TestSearchMarksPackets.

--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -122,7 +122,7 @@
 		balancer.openedAt = now
 		a.open(now, from, header, p)
 	case KindData:
-		a.deliver(now, from, p)
+		a.deliver(now, from, Reason(header.Reason), p)
 	default:
 		a.decided(&Decision{Step: StepUnknown, Flow: p.Flow, Peer: from})
 	}
@@ -168,9 +168,12 @@
 
 // deliver hands a packet of an open flow to the upstream, which returns it when
 // it does not hold the flow.
-func (a *Agent) deliver(now hickorymodel.Instant, from hickorymodel.Endpoint, p *Packet) {
+func (a *Agent) deliver(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, p *Packet) {
 	if f := a.flow(now, p.Flow); f != nil {
 		f.balancer = from
+		if reason == ReasonSought {
+			f.told = hickorymodel.Endpoint{} // a balancer that was told has started again
+		}
 		f.callerEnded = f.callerEnded || p.Finish || p.Reset
 		if p.Reset || (p.Finish && p.Data == 0) {
 			a.setBusy(f, false) // the caller waits no more
--- a/core/hickorysteering/agent_test.go
+++ b/core/hickorysteering/agent_test.go
@@ -322,3 +322,23 @@
 		})
 	}
 }
+
+// TestSeekingBalancerIsToldAgain guards against a balancer that has started again at
+// its endpoint and is not told the owner of a flow that its predecessor knew: its
+// search went on to all agents, and the flow's next packets waited for 0.6 s
+// (incident of the grown pagebound-tt with restarts in turn).
+func TestSeekingBalancerIsToldAgain(t *testing.T) {
+	s := newSide(t)
+	s.deliver(balancer)
+	s.answer(hickorysteering.Packet{Data: 5})
+	s.is.Equal(verbs(s.deliver(balancer)), []hickorysteering.Verb{hickorysteering.VerbDeliver}) // it knows
+	sought := hickoryframe.Header{Kind: uint8(hickorysteering.KindData), Reason: uint8(hickorysteering.ReasonSought)}
+	actions := s.agent.HandleFrame(s.now, balancer, &sought, data())
+	s.is.Equal(verbs(actions), []hickorysteering.Verb{hickorysteering.VerbDeliver, hickorysteering.VerbNotice})
+}
+
+// TestSearchMarksPackets guards the sign that TestSeekingBalancerIsToldAgain relies on.
+func TestSearchMarksPackets(t *testing.T) {
+	f := newFixture(t, "a")
+	f.is.Equal(hickorysteering.Reason(f.balancer.Handle(f.now, data())[0].Header.Reason), hickorysteering.ReasonSought)
+}
--- a/core/hickorysteering/choose.go
+++ b/core/hickorysteering/choose.go
@@ -17,6 +17,9 @@
 	// remoteMargin is how much higher the load of the own zone must be, beyond
 	// localLimit, before a flow goes to another zone.
 	remoteMargin = 0.4
+	// rankMargin is how much higher the load of the first ranks may be than the
+	// lowest of the zone before a flow goes to another rank: a request of three slots.
+	rankMargin = 0.34
 	// coldLoad is added to the load of an upstream in cold start.
 	coldLoad = 0.5
 	// unansweredLife is how long an upstream that left a first packet
@@ -72,11 +75,12 @@
 			remote.offer(p, cost)
 		}
 	}
-	if first := b.least(now, &ranks); first.peer != nil && first.cost <= localLimit {
-		return first.peer, first.cost
-	}
+	first := b.least(now, &ranks)
+	near := local.peer != nil && (remote.peer == nil || local.cost <= localLimit || local.cost <= remote.cost+remoteMargin)
 	switch {
-	case local.peer != nil && (remote.peer == nil || local.cost <= localLimit || local.cost <= remote.cost+remoteMargin):
+	case first.peer != nil && (first.cost <= localLimit || (near && first.cost <= local.cost+rankMargin)):
+		return first.peer, first.cost
+	case near:
 		return local.peer, local.cost
 	case remote.peer != nil:
 		return remote.peer, remote.cost
--- a/core/hickorysteering/frame.go
+++ b/core/hickorysteering/frame.go
@@ -58,6 +58,8 @@
 	ReasonUnknown
 	// ReasonBusy returns a first packet because enough requests wait already.
 	ReasonBusy
+	// ReasonSought marks a packet whose owner the balancer does not know.
+	ReasonSought
 )
 
 var reasonNames = map[Reason]string{
@@ -74,6 +76,7 @@
 	ReasonPresumed:     "presumed",
 	ReasonUnknown:      "unknown",
 	ReasonBusy:         "busy",
+	ReasonSought:       "sought",
 }
 
 // String returns the name for logs and metrics.
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -482,3 +482,24 @@
 	queries := f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
 	f.is.Equal(queries[0].Query.StartedAt, uint64(wallStart))
 }
+
+// TestSearchOfBusyService guards against flows that are opened beyond the first ranks
+// because all upstreams are busy: four of five searches of a restarted balancer asked
+// all agents (incident of the grown pagebound-tt with restarts in turn).
+func TestSearchOfBusyService(t *testing.T) {
+	zones := []hickoryid.ZoneName{}
+	for range 20 {
+		zones = append(zones, "a")
+	}
+	f, other := newFixture(t, zones...), newFixture(t, zones...)
+	for i := range zones {
+		f.balancer.HandleReport(f.now, agent(i), &hickoryframe.Header{}, &hickoryframe.Report{Busy: 4}, nil)
+	}
+	for port := range uint16(100) {
+		open, packet := first(0), data()
+		open.Flow.Source.Port, packet.Flow.Source.Port = port, port
+		owner := targets(f.balancer.Handle(f.now, open))[0]
+		f.balancer.HandleReport(f.now, owner, &hickoryframe.Header{}, &hickoryframe.Report{Busy: 4}, nil)
+		f.is.True(slices.Contains(targets(other.balancer.Handle(other.now, packet)), owner))
+	}
+}
