Keep a flow at one upstream when an agent resumes or lags behind

Traced: 1087, 1086, 1204, 1210, 21: the simulated balancer forwarded first packets that had waited during its pause; the daemon drops them by its lease, which the simulation did not have. 1319: an agent offered a flow to a second agent while its first offer was still passed on. 1145, 1172: after several changes a candidate list had no room for a leaving owner, and the new home did not query it. 1270: an agent resumed and checked a flow by its table from before the pause. 348: a resumed agent released a flow whose first packet its upstream had received, and offered the next copy elsewhere.

Change: the simulated balancer has the product's lease. A tracker drops a packet of an unchecked flow in the backlog after a pause, does not offer a flow a second time within 500 ms, queries all upstreams that the section names as leaving, keeps the flows that a pause released for its own upstream, and drops a first packet when the balancer's version is newer and names an upstream that the own version excludes.

Ruled out: querying every upstream of the service for each new flow in transition; it costs a service of 400 hosts 400 messages a flow.

Conclusion: the traced faults are mended and kept as regression seeds; the owner of an unanswered first packet is still recorded at one home only.

--- a/core/hickoryflow/claim.go
+++ b/core/hickoryflow/claim.go
@@ -25,6 +25,7 @@
 	if p.Generation < t.service.Generation || t.flows.find(&p.Key) != nil {
 		t.addCandidates(pending, t.ownCandidates(now, &p.Key))
 	}
+	t.addCandidates(pending, t.leavingUpstreams())
 	if len(pending.waiting) == 0 {
 		t.handleUnowned(now, p, pending.certainty)
 		return
@@ -47,6 +48,19 @@
 	}
 }
 
+// leavingUpstreams returns the upstreams that the section names as leaving. After
+// several changes in a row a candidate list has no room for all of them, although each
+// may own flows.
+func (t *Tracker) leavingUpstreams() []hickorymodel.Candidate {
+	var leaving []hickorymodel.Candidate
+	for i := range t.service.Upstreams {
+		if upstream := &t.service.Upstreams[i]; upstream.State == hickorymodel.UpstreamLeaving {
+			leaving = append(leaving, hickorymodel.Candidate{Endpoint: upstream.Endpoint, State: hickorymodel.CandidateOwnerOnly})
+		}
+	}
+	return leaving
+}
+
 // tryClaim sends a query to the candidates that have not replied yet.
 func (t *Tracker) tryClaim(now hickorymodel.Instant, pending *claim) {
 	pending.tries++
--- a/core/hickoryflow/new_flow.go
+++ b/core/hickoryflow/new_flow.go
@@ -8,6 +8,13 @@
 // decideNew accepts a new flow at its home, offers it to another candidate, or
 // drops its first packet when no upstream can take it.
 func (t *Tracker) decideNew(now hickorymodel.Instant, p *Packet) {
+	if t.released.contains(now, p.Key) {
+		// The upstream may have received the first packet before the pause.
+		if !t.accept(now, p) {
+			t.drop(p, hickorymessage.DropReasonOverloaded)
+		}
+		return
+	}
 	t.gate.CreditForwards()
 	if position, ok := t.peers.LessLoaded(now, t.gate.Load().Flows, &p.Candidates, t.self); ok && t.gate.TryBalance() {
 		t.offer(now, p, position)
@@ -79,6 +86,7 @@
 func (t *Tracker) offer(now hickorymodel.Instant, p *Packet, position int) {
 	target := p.Candidates[position].Endpoint
 	t.redirects.put(now, p.Key, target)
+	t.offers.put(now, p.Key, target)
 	t.peers.AddFlow(target)
 	p.OfferLoad = t.gate.Load().Flows
 	t.forward(p, target, FlagOffered)
--- a/core/hickoryflow/pause.go
+++ b/core/hickoryflow/pause.go
@@ -38,7 +38,11 @@
 	}
 	t.backlogEnd = now.Add(backlogTime)
 	t.endFlows(func(r *record) bool {
-		return r.key.Protocol == hickorymodel.ProtocolUDP || r.state != flowEstablished
+		mayBeNew := r.key.Protocol == hickorymodel.ProtocolUDP || r.state != flowEstablished
+		if mayBeNew {
+			t.released.put(now, r.key, t.self)
+		}
+		return mayBeNew
 	})
 	for i := range t.flows.records {
 		r := &t.flows.records[i]
--- a/core/hickoryflow/redirect_table.go
+++ b/core/hickoryflow/redirect_table.go
@@ -10,19 +10,23 @@
 	// redirectLifetime is three times registerInterval, so that an entry
 	// survives the loss of two messages in a row.
 	redirectLifetime = 300 * time.Second
-	maxRedirects     = 4096
+	// maxRedirects bounds the entries of one table.
+	maxRedirects = 4096
 	// querierLifetime covers the time in which balancers may still use an older
 	// table: a change is in effect everywhere within 11 s.
 	querierLifetime = 15 * time.Second
-	maxQueriers     = 4096
+	// offerTime covers the way of an offer over MaxHops agents, with delays of some
+	// 60 ms each.
+	offerTime = 500 * time.Millisecond
+	// releasedTime covers the time in which a caller repeats its first packet.
+	releasedTime = 75 * time.Second
 )
 
 // redirectTable holds redirect entries: the owners of flows that other agents
 // own.
 type redirectTable struct {
-	// entries has at most capacity entries.
+	// entries has at most maxRedirects entries.
 	entries  map[hickorymodel.FlowKey]redirect
-	capacity int
 	lifetime time.Duration
 }
 
@@ -31,10 +35,9 @@
 	endAt hickorymodel.Instant
 }
 
-func newRedirectTable(capacity int, lifetime time.Duration) *redirectTable {
+func newRedirectTable(lifetime time.Duration) *redirectTable {
 	return &redirectTable{
 		entries:  map[hickorymodel.FlowKey]redirect{},
-		capacity: capacity,
 		lifetime: lifetime,
 	}
 }
@@ -47,6 +50,11 @@
 	return entry.owner, true
 }
 
+func (r *redirectTable) contains(now hickorymodel.Instant, key hickorymodel.FlowKey) bool {
+	_, found := r.find(now, key)
+	return found
+}
+
 // put stores an owner. When the table is full, expired entries are removed
 // first; if none has expired, the new entry is not stored and packets of the
 // flow are walked.
@@ -56,9 +64,9 @@
 
 // putUntil stores an owner with a given time of expiry.
 func (r *redirectTable) putUntil(now hickorymodel.Instant, key hickorymodel.FlowKey, owner hickorymodel.Endpoint, endAt hickorymodel.Instant) {
-	if _, known := r.entries[key]; !known && len(r.entries) >= r.capacity {
+	if _, known := r.entries[key]; !known && len(r.entries) >= maxRedirects {
 		r.expire(now)
-		if len(r.entries) >= r.capacity {
+		if len(r.entries) >= maxRedirects {
 			return
 		}
 	}
--- a/core/hickoryflow/tracker.go
+++ b/core/hickoryflow/tracker.go
@@ -67,6 +67,12 @@
 	// queriers holds the agents that sent a query about a flow whose owner this
 	// agent did not know. Each of them probably owns its flow now.
 	queriers *redirectTable
+	// offers holds the targets of the offers that other agents may still be passing
+	// on.
+	offers *redirectTable
+	// released holds the flows that a pause has ended. If no other agent owns one of
+	// them, its next first packet goes to the own upstream again.
+	released *redirectTable
 	claims   *claimTable
 	notices  loadNotices
 	sweep    sweep
@@ -107,8 +113,10 @@
 		gate:         hickoryadmission.NewGate(hickoryadmission.Limits{Slots: 1, Connections: 1}),
 		peers:        hickoryadmission.NewPeers(),
 		flows:        newFlowTable(1),
-		redirects:    newRedirectTable(maxRedirects, redirectLifetime),
-		queriers:     newRedirectTable(maxQueriers, querierLifetime),
+		redirects:    newRedirectTable(redirectLifetime),
+		queriers:     newRedirectTable(querierLifetime),
+		offers:       newRedirectTable(offerTime),
+		released:     newRedirectTable(releasedTime),
 		claims:       newClaimTable(random.Uint32()),
 		lost:         lostTable{seenAt: map[hickorymodel.FlowKey]hickorymodel.Instant{}},
 	}
@@ -224,30 +232,42 @@
 		t.drop(p, hickorymessage.DropReasonZoneOutOfService)
 		return
 	}
-	t.maskExcluded(p)
+	masked := t.maskExcluded(p)
 	r := t.flows.find(&p.Key)
 	if r != nil && !r.unchecked {
 		t.handleOwned(now, p, r)
 		return
 	}
-	if t.claims.hold(p) {
+	if masked && p.mayBeNew() && p.Generation > t.service.Generation {
+		// The zone of a candidate may be back in service in the newer version of the
+		// balancer, so its agent may own the flow.
+		t.drop(p, hickorymessage.DropReasonStaleTable)
 		return
 	}
-	if r != nil {
-		t.claim(now, p)
+	if t.claims.hold(p) {
 		return
 	}
-	if p.mayBeNew() && now.Before(t.backlogEnd) {
+	if (r != nil || p.mayBeNew()) && now.Before(t.backlogEnd) {
 		// The packet may have waited in the socket during the pause, and
 		// another agent may own the flow by now. What this agent has stored
-		// about the owner is from before the pause.
+		// about the owner, and its table, are from before the pause.
 		t.drop(p, hickorymessage.DropReasonOwnerUnknown)
 		return
 	}
+	if r != nil {
+		t.claim(now, p)
+		return
+	}
 	if owner, ok := t.redirectTarget(now, p); ok && owner != p.From {
 		t.redirect(now, p, owner)
 		return
 	}
+	if t.offers.contains(now, p.Key) {
+		// The agent that was offered the flow may still be passing the offer on.
+		// A second offer could reach another upstream.
+		t.drop(p, hickorymessage.DropReasonOwnerUnknown)
+		return
+	}
 	t.handleUnknown(now, p)
 }
 
--- a/core/hickoryflow/zone.go
+++ b/core/hickoryflow/zone.go
@@ -57,15 +57,16 @@
 }
 
 // maskExcluded keeps new flows from agents whose zones are out of service,
-// although a balancer with an older table lists them as accepting.
-func (t *Tracker) maskExcluded(p *Packet) {
-	if len(t.excluded) == 0 {
-		return
-	}
+// although the list of the packet names them as accepting. It reports whether there
+// were such agents.
+func (t *Tracker) maskExcluded(p *Packet) bool {
+	masked := false
 	for i := range p.Candidates.Len() {
 		candidate := &p.Candidates[i]
 		if _, excluded := t.excluded[candidate.Endpoint]; excluded && candidate.State == hickorymodel.CandidateAccepting {
 			candidate.State = hickorymodel.CandidateOwnerOnly
+			masked = true
 		}
 	}
+	return masked
 }
--- a/core/hickoryscenario/operator_test.go
+++ b/core/hickoryscenario/operator_test.go
@@ -164,6 +164,7 @@
 		return
 	}
 	p.paused = true
+	p.pausedAt = sim.now
 	if a, ok := sim.agents[name]; ok {
 		a.ownerEventsAtPause = len(sim.log.owners)
 	}
--- a/core/hickoryscenario/process_test.go
+++ b/core/hickoryscenario/process_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"hickoryworks/core/hickoryconfig"
 	"hickoryworks/core/hickoryflow"
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/core/hickorytable"
@@ -18,6 +19,9 @@
 	endpoint hickorymodel.Endpoint
 	dead     bool
 	paused   bool
+	// pausedAt is the start of a pause, until what arrived during it has been handled;
+	// otherwise 0.
+	pausedAt hickorymodel.Instant
 	// pausedSteps holds the handling of what arrived during a pause.
 	pausedSteps []func()
 	// generations holds the newest generation of each service that was read.
@@ -44,6 +48,17 @@
 	for _, run := range pausedSteps {
 		run()
 	}
+	p.pausedAt = 0
+}
+
+// lease returns the lease of a balancer, which is granted again once what arrived
+// during a pause has been handled.
+func (b *balancer) lease(now hickorymodel.Instant) hickoryconfig.Lease {
+	lease := hickoryconfig.Lease{Until: now.Add(hickoryconfig.FreshWindow), GrantedAt: now}
+	if b.pausedAt != 0 {
+		lease.GrantedAt = b.pausedAt
+	}
+	return lease
 }
 
 // balancer is a simulated balancer with its table.
@@ -201,6 +216,10 @@
 // handleAtBalancer chooses the candidate list for a caller's packet and forwards the
 // packet to the first candidate.
 func (sim *simulation) handleAtBalancer(b *balancer, p *sentPacket) {
+	if !b.lease(sim.now).Allows(sim.now) {
+		sim.log.drop(sim, b.name, p, hickorymessage.DropReasonStaleTable)
+		return
+	}
 	var choice hickorytable.Choice
 	if b.table == nil || !b.table.Choose(sim.now, &p.flow.key, &choice) {
 		sim.log.drop(sim, b.name, p, hickorymessage.DropReasonUnknownAddress)
--- a/core/hickoryscenario/random_test.go
+++ b/core/hickoryscenario/random_test.go
@@ -65,6 +65,12 @@
 		{"same fault as with seed 36, with another owner", 144, 20},
 		{"same fault as with seed 36 and 20 steps, later in the schedule", 36, 30},
 		{"an agent resumed and forwarded a first packet that had arrived in its pause, by a redirect entry from before the pause", 5, 30},
+		{"an agent offered a flow a second time, while its first offer was still being passed on", 1319, 30},
+		{"a new home did not query a leaving agent for which a candidate list had no room after several changes", 1145, 30},
+		{"same fault as with seed 1145, with the home that knew the owner paused", 1172, 30},
+		{"an agent resumed and checked a flow by its table from before the pause, which did not name the new owner", 1270, 30},
+		{"an agent resumed, released a flow that its upstream had not answered, and offered its next first packet to another agent", 348, 30},
+		{"a balancer resumed and forwarded a first packet that had arrived in its pause", 1087, 30},
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("seed%d-%d", c.seed, c.steps), func(t *testing.T) {
