Let one odd published value cost that value alone

Cause: another operator reports that one odd entry among those of the upstreams ended the readers or stopped them. A rejected value was logged with each read. A frequent change of a key of no meaning made the balancer call the store without a pause.

The directory passes over a start that lies in the future when it compares entries of one endpoint. A rejected value is logged once. The follower pauses after each answer that has moved the revision.

Ruled out: rejecting a start in the future as such; a balancer whose own clock is wrong would lose all upstreams.

--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -18,6 +18,9 @@
 // start is the time of the first event of each test.
 const start = hickorymodel.Instant(time.Hour)
 
+// wall is the time of day of each test in Unix milliseconds.
+const wall = hickorymodel.WallTime(1_800_000_000_000)
+
 func table(version int) hickorydirectory.Change {
 	return hickorydirectory.Change{Table: &hickorymessage.RouteTable{
 		Version: version, IdleTimeout: "15s",
@@ -79,7 +82,7 @@
 	d.Merge(start, &hickorymessage.DirectoryState{Table: table(5).Table})
 	is.Equal(d.Version(), 7)
 	is.True(d.Apply(start, changes(11, table(8))))
-	is.Equal(d.View(start).Version, 8)
+	is.Equal(d.View(start, wall).Version, 8)
 }
 
 // TestRoutesOfView guards against new flows at a target of weight 0.
@@ -87,7 +90,7 @@
 	is := is.New(t)
 	d := hickorydirectory.New()
 	d.Apply(start, listing(9, table(7)))
-	for _, route := range d.View(start).Routes {
+	for _, route := range d.View(start, wall).Routes {
 		is.Equal(route.Targets, []hickorydirectory.Target{{Service: hickorydirectory.HashService("clubroom"), Weight: 1}})
 		is.Equal(route.WeightSum, 1)
 	}
@@ -112,7 +115,7 @@
 		},
 	}}))
 	urgent := map[string]bool{}
-	for _, r := range d.View(start).Routes {
+	for _, r := range d.View(start, wall).Routes {
 		urgent[r.Name] = r.Urgent
 	}
 	is.Equal(urgent, map[string]bool{"198.51.100.1:1": true, "198.51.100.1:2": false, "198.51.100.1:3": false})
@@ -150,7 +153,7 @@
 			for _, batch := range c.batches {
 				d.Apply(start, batch)
 			}
-			is.Equal(accepting(d.View(start)), c.want)
+			is.Equal(accepting(d.View(start, wall)), c.want)
 		})
 	}
 }
@@ -172,6 +175,8 @@
 	}{
 		{"by start", []hickorydirectory.Change{entry("u-a", 3, 2000), entry("u-b", 9, 1000)}, ids{"u-a"}},
 		{"by start, in the other order", []hickorydirectory.Change{entry("u-b", 9, 1000), entry("u-a", 3, 2000)}, ids{"u-a"}},
+		{"start in the future", []hickorydirectory.Change{entry("u-a", 3, 1000), entry("u-b", 9, int(wall.Add(2*time.Hour)))}, ids{"u-a"}},
+		{"start by a clock that is 40 minutes ahead", []hickorydirectory.Change{entry("u-a", 3, 1000), entry("u-b", 9, int(wall.Add(40*time.Minute)))}, ids{"u-b"}},
 		{"by revision", []hickorydirectory.Change{entry("u-a", 3, 0), entry("u-b", 9, 0)}, ids{"u-b"}},
 		{"removed entry whose id sorts later", []hickorydirectory.Change{
 			entry("z-removed", 3, 0), entry("u-b", 9, 0),
@@ -191,8 +196,8 @@
 			is := is.New(t)
 			d := hickorydirectory.New()
 			d.Apply(start, changes(12, c.changes...))
-			is.Equal(accepting(d.View(start)), c.want)
-			is.Equal(len(d.View(start).Upstreams), 1)
+			is.Equal(accepting(d.View(start, wall)), c.want)
+			is.Equal(len(d.View(start, wall).Upstreams), 1)
 		})
 	}
 }
@@ -207,13 +212,13 @@
 	d.StoreFailed()
 	restored := start.Add(5 * time.Second)
 	d.Apply(restored, changes(9, removed(1, 8), removed(2, 9)))
-	is.Equal(accepting(d.View(restored)), ids{"u-1"}) // u-2 was leaving
+	is.Equal(accepting(d.View(restored, wall)), ids{"u-1"}) // u-2 was leaving
 	is.True(!d.Tick(restored.Add(2400 * time.Millisecond)))
 	is.True(d.Tick(restored.Add(2500 * time.Millisecond)))
-	is.Equal(accepting(d.View(restored.Add(2500*time.Millisecond))), ids{})
-	is.Equal(len(d.View(restored).Upstreams), 2) // it may still hold open flows
+	is.Equal(accepting(d.View(restored.Add(2500*time.Millisecond), wall)), ids{})
+	is.Equal(len(d.View(restored, wall).Upstreams), 2) // it may still hold open flows
 	d.Tick(restored.Add(76 * time.Second))
-	is.Equal(len(d.View(restored).Upstreams), 0)
+	is.Equal(len(d.View(restored, wall).Upstreams), 0)
 }
 
 // TestZoneReturnsCold guards against full load on cold upstreams (guarantee P3):
@@ -224,9 +229,9 @@
 	d := hickorydirectory.New()
 	d.Apply(start, listing(6, table(1), upstream(1, 3, false, "0s"), zone(6, true)))
 	d.Apply(start, changes(7, zone(7, false)))
-	is.Equal(d.View(start).Upstreams[0].ColdUntil, start.Add(3*time.Second))
+	is.Equal(d.View(start, wall).Upstreams[0].ColdUntil, start.Add(3*time.Second))
 	d.Apply(start, changes(8, upstream(1, 8, false, "0s"))) // the newer entry states that it is warm
-	is.Equal(d.View(start).Upstreams[0].ColdUntil, hickorymodel.Instant(0))
+	is.Equal(d.View(start, wall).Upstreams[0].ColdUntil, hickorymodel.Instant(0))
 }
 
 // TestMergeOfWholeState guards against a balancer that the store rejects and that
@@ -241,8 +246,8 @@
 	is.True(emptyDirectory.Merge(later, fullDirectory.Export(later)))
 	is.True(emptyDirectory.StateComplete())
 	is.Equal(emptyDirectory.Digest(), fullDirectory.Digest())
-	is.Equal(emptyDirectory.View(later).Upstreams[0].ColdUntil, later.Add(500*time.Millisecond))
-	is.Equal(accepting(emptyDirectory.View(later)), ids{}) // the zone is out of service
+	is.Equal(emptyDirectory.View(later, wall).Upstreams[0].ColdUntil, later.Add(500*time.Millisecond))
+	is.Equal(accepting(emptyDirectory.View(later, wall)), ids{}) // the zone is out of service
 	is.True(!emptyDirectory.Merge(later, fullDirectory.Export(later)))
 }
 
@@ -281,5 +286,5 @@
 	for _, change := range all {
 		d.Apply(start, changes(0, change))
 	}
-	return fmt.Sprint(d.Version(), accepting(d.View(start)))
+	return fmt.Sprint(d.Version(), accepting(d.View(start, wall)))
 }
--- a/core/hickorydirectory/record.go
+++ b/core/hickorydirectory/record.go
@@ -25,17 +25,24 @@
 
 // accepting reports whether the upstream may get new flows according to its entry.
 func (r *upstreamRecord) accepting(now hickorymodel.Instant) bool {
-	if r.listed.Leaving {
-		return false
-	}
+	return !r.listed.Leaving && r.listedOrExpired(now)
+}
+
+// listedOrExpired reports whether the entry exists, or may only have expired while
+// the store was not available.
+func (r *upstreamRecord) listedOrExpired(now hickorymodel.Instant) bool {
 	return r.removedAt == 0 || now.Before(r.usableUntil)
 }
 
 // isNewerThan reports whether the entry is of a later upstream at the same
 // endpoint. The published starts decide if both are known, since revisions also
-// rise with other changes. Without them, an entry that exists is newer than a
-// removed one.
-func (r *upstreamRecord) isNewerThan(other *upstreamRecord) bool {
+// rise with other changes; a start after latestStart is not possible and counts as
+// earlier than any other. Without them, an entry that exists is newer than a removed
+// one.
+func (r *upstreamRecord) isNewerThan(other *upstreamRecord, latestStart hickorymodel.WallTime) bool {
+	if possible := r.startPossible(latestStart); possible != other.startPossible(latestStart) {
+		return possible
+	}
 	if r.listed.StartedAt != other.listed.StartedAt && r.listed.StartedAt != 0 && other.listed.StartedAt != 0 {
 		return r.listed.StartedAt > other.listed.StartedAt
 	}
@@ -45,6 +52,11 @@
 	return r.revision > other.revision
 }
 
+// startPossible reports whether the published start is not after latestStart.
+func (r *upstreamRecord) startPossible(latestStart hickorymodel.WallTime) bool {
+	return hickorymodel.WallTime(r.listed.StartedAt) <= latestStart
+}
+
 // zoneRecord is the state of one zone.
 type zoneRecord struct {
 	mark hickorymessage.ZoneMark
--- a/core/hickorydirectory/size_bench_test.go
+++ b/core/hickorydirectory/size_bench_test.go
@@ -39,7 +39,7 @@
 func BenchmarkView(b *testing.B) {
 	d := targetDirectory()
 	for b.Loop() {
-		d.View(start)
+		d.View(start, wall)
 	}
 }
 
--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -72,6 +72,10 @@
 	Accepting bool
 	// Leaving is true when the upstream itself is leaving or has left.
 	Leaving bool
+	// Removed is true when the upstream has no entry any more, so that it has ended.
+	// An entry that may only have expired while the store was not available does not
+	// count as removed.
+	Removed bool
 	// StartedAt is when the upstream started, by the clock of its machine.
 	StartedAt hickorymodel.WallTime
 	// ColdUntil is when the cold start ends; 0 for a warm upstream.
@@ -85,8 +89,12 @@
 	Revision Revision
 }
 
-// View returns the state as of now.
-func (d *Directory) View(now hickorymodel.Instant) *View {
+// maxClockError is the largest difference between the clocks of two machines with
+// which published starts are compared: clocks were seen to be 40 minutes off.
+const maxClockError = time.Hour
+
+// View returns the state as of now; wall is the same time by the system clock.
+func (d *Directory) View(now hickorymodel.Instant, wall hickorymodel.WallTime) *View {
 	view := &View{Version: d.Version(), StateComplete: d.StateComplete(), Routes: map[hickorymodel.SocketAddress]*Route{}}
 	services := map[hickoryid.ServiceName]hickorymessage.RoutedService{}
 	if d.table != nil {
@@ -99,7 +107,7 @@
 		}
 		view.markUrgent()
 	}
-	newest := d.newestAtEndpoints()
+	newest := d.newestAtEndpoints(wall.Add(maxClockError))
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		record := d.upstreams[id]
 		if record.endpoint.IsZero() || newest[record.endpoint] != record {
@@ -111,11 +119,12 @@
 }
 
 // newestAtEndpoints returns the newest entry of each endpoint. An upstream that has
-// restarted has a new entry while its old one has not expired yet.
-func (d *Directory) newestAtEndpoints() map[hickorymodel.Endpoint]*upstreamRecord {
+// restarted has a new entry while its old one has not expired yet. LatestStart is the
+// latest possible start of an upstream.
+func (d *Directory) newestAtEndpoints(latestStart hickorymodel.WallTime) map[hickorymodel.Endpoint]*upstreamRecord {
 	newest := map[hickorymodel.Endpoint]*upstreamRecord{}
 	for _, record := range d.upstreams {
-		if other := newest[record.endpoint]; other == nil || record.isNewerThan(other) {
+		if other := newest[record.endpoint]; other == nil || record.isNewerThan(other, latestStart) {
 			newest[record.endpoint] = record
 		}
 	}
@@ -162,6 +171,7 @@
 		Slots:     record.listed.Slots,
 		Accepting: record.accepting(now) && (zone == nil || !zone.mark.Excluded),
 		Leaving:   !record.accepting(now),
+		Removed:   !record.listedOrExpired(now),
 		StartedAt: hickorymodel.WallTime(record.listed.StartedAt),
 		ColdUntil: record.coldUntil,
 		RampTime:  service.RampTime.Value(),
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -196,7 +196,8 @@
 		stateRequests: b.rings.stateRequests,
 		views:         b.rings.views,
 
-		recordApplied: recordApplied,
+		recordApplied:  recordApplied,
+		rejectedValues: map[hickorydirectory.RejectedValue]bool{},
 	}
 }
 
--- a/io/hickoryfabric/directory_updater.go
+++ b/io/hickoryfabric/directory_updater.go
@@ -18,6 +18,9 @@
 // calls to other balancers.
 const directoryTickInterval = 200 * time.Millisecond
 
+// maxRejectedValues bounds the rejected values that are remembered.
+const maxRejectedValues = 1024
+
 // directoryUpdater owns the directory, the copy of the state that the platform
 // publishes. It applies answers of the store and of other balancers, answers the
 // calls of other balancers, and sends a view of the directory to the decide duty
@@ -42,6 +45,9 @@
 	confirmedUntil hickorymodel.Instant
 	// storeLost is true from a failed call to the store until the next answer.
 	storeLost bool
+	// rejectedValues are the rejected values that have been logged. It has at most
+	// maxRejectedValues entries and is cleared when it is full.
+	rejectedValues map[hickorydirectory.RejectedValue]bool
 }
 
 func (u *directoryUpdater) run(ctx context.Context) error {
@@ -90,9 +96,7 @@
 		u.storeLost = false
 		u.logger.Log(hickoryevent.StoreRegained, hickorylog.Fields{"through": int(answer.Batch.Through)})
 	}
-	for _, rejectedValue := range answer.Batch.RejectedValues {
-		u.logger.Log(hickoryevent.StoreValueRejected, hickorylog.Fields{"key": rejectedValue.Key, "error": rejectedValue.Reason})
-	}
+	u.logRejectedValues(answer.Batch.RejectedValues)
 	u.confirmedUntil = answer.SentAt
 	if u.directory.Apply(u.clock.Now(), answer.Batch) {
 		u.publish("store")
@@ -101,6 +105,21 @@
 	u.recordApplied(answer.SentAt)
 }
 
+// logRejectedValues logs each rejected value once: its writer may repeat it with each
+// heartbeat, and every listing contains it.
+func (u *directoryUpdater) logRejectedValues(values []hickorydirectory.RejectedValue) {
+	for _, value := range values {
+		if u.rejectedValues[value] {
+			continue
+		}
+		if len(u.rejectedValues) >= maxRejectedValues {
+			clear(u.rejectedValues)
+		}
+		u.rejectedValues[value] = true
+		u.logger.Log(hickoryevent.StoreValueRejected, hickorylog.Fields{"key": value.Key, "error": value.Reason})
+	}
+}
+
 // handleStateCall handles a request, an answer or a failure of another balancer, or
 // new seeds.
 func (u *directoryUpdater) handleStateCall(call hickoryring.StateCall) {
@@ -130,7 +149,7 @@
 // what caused the change: "store", "lapse" for entries that expired, or the endpoint
 // of the balancer whose state was merged.
 func (u *directoryUpdater) publish(source string) {
-	view := u.directory.View(u.clock.Now())
+	view := u.directory.View(u.clock.Now(), hickorymodel.NewWallTime(time.Now()))
 	view.Confirmed = u.confirmedUntil
 	accepting := 0
 	for i := range view.Upstreams {
--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -26,9 +26,9 @@
 	watchSlack = 700 * time.Millisecond
 	// maxAnswerTime is the longest time that a healthy store takes to answer.
 	maxAnswerTime = 300 * time.Millisecond
-	// batchPause is the pause after an answer with changes, so that one watch reads
-	// several changes: each call to the store is billed. It adds to the time until a
-	// change takes effect.
+	// batchPause is the pause after an answer with changes, also of keys that
+	// hickoryworks does not use, so that one watch reads several changes: each call to
+	// the store is billed. It adds to the time until a change takes effect.
 	batchPause = 800 * time.Millisecond
 	// minCallPause is the shortest pause after an answer when a confirmation is
 	// requested. It limits the rate of calls while open flows are lost.
@@ -163,10 +163,10 @@
 		f.callCounters["answered"].Inc(1)
 		f.failures = 0
 		f.listed = true
-		f.through = max(f.through, batch.Through)
-		if len(batch.Changes)+len(batch.RejectedValues) == 0 {
-			return 0
+		if batch.Through <= f.through {
+			return 0 // the store has held the watch
 		}
+		f.through = batch.Through
 		return batchPause
 	}
 	if f.store.HistoryGone(err) {
--- a/io/hickoryfabric/store_follower_test.go
+++ b/io/hickoryfabric/store_follower_test.go
@@ -27,10 +27,11 @@
 }
 
 // TestFollowerPauses guards against too many calls to the store: each call is
-// billed, also a failed one.
+// billed, also a failed one and one that a frequent change of unrelated keys ends.
 func TestFollowerPauses(t *testing.T) {
 	is := is.New(t)
 	f := testFollower(Store{})
+	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 4}, nil), batchPause)       // a key of no meaning has changed
 	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 4}, nil), time.Duration(0)) // the store held the watch
 	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 5, Changes: make([]hickorydirectory.Change, 1)}, nil), batchPause)
 	longest := time.Duration(0)
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -274,6 +274,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if 1000000 < plain.Weight {
+		return fmt.Errorf("field %s: must be <= %v", "weight", 1000000)
+	}
 	if 0 > plain.Weight {
 		return fmt.Errorf("field %s: must be >= %v", "weight", 0)
 	}
@@ -347,6 +350,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if 1e+06 < plain.RampRate {
+		return fmt.Errorf("field %s: must be <= %v", "rampRate", 1e+06)
+	}
 	if 0 > plain.RampRate {
 		return fmt.Errorf("field %s: must be >= %v", "rampRate", 0)
 	}
