Do not take a silent agent beside a leaving upstream for ended

A balancer concluded from "silent and leaving" that agent and upstream had ended, and reset flows that the upstream held while its agent was paused. It is also a report of other operators: a machine that was only silent had its work given up.

Ruled out: a longer silence; no length of a pause proves anything about the upstream.

TestGoneUpstreamEndsSearch has the case; it fails with the old rule.

Conclusion: silence ends no flow.

--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -102,11 +102,12 @@
 	return p.state == StateStopping || p.state == StateSilent
 }
 
-// agentEnded reports whether a leaving upstream and its agent have ended. An agent
-// ends after its upstream, so once the agent of a leaving upstream is silent, both
-// have.
+// agentEnded reports whether an upstream and its agent have ended: the upstream has
+// no entry any more and the agent, which ends after it, is silent. Silence alone
+// proves nothing, since an agent may be paused beside an upstream that serves its
+// flows, also beside one that is leaving.
 func (p *peer) agentEnded() bool {
-	return p.silent && p.upstream.Leaving
+	return p.silent && p.upstream.Removed
 }
 
 // failing reports whether the agent's last report says that the upstream is
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -421,26 +421,30 @@
 }
 
 // TestGoneUpstreamEndsSearch guards against searches for lost flows that wait for
-// an agent which has ended with its leaving upstream: after a power failure
-// searches waited for five agents without end.
+// an agent which has ended with its upstream: after a power failure searches waited
+// for five agents without end. It also guards against flows that are reset because
+// the agent beside an upstream that serves them is paused, also while the upstream is
+// leaving.
 func TestGoneUpstreamEndsSearch(t *testing.T) {
 	cases := []struct {
-		name    string
-		leaving bool
-		want    int
+		name             string
+		leaving, removed bool
+		want             int
 	}{
-		{"the upstream has left", true, 1},
-		{"the upstream is listed", false, 0},
+		{"the upstream has left", true, true, 1},
+		{"the upstream is leaving and its agent is silent", true, false, 0},
+		{"the upstream is listed and its agent is silent", false, false, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t, "a", "b")
 			f.balancer.Handle(f.now, data())
 			f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
-			f.view.Upstreams[1].Leaving, f.view.Upstreams[1].Accepting = c.leaving, !c.leaving
+			u := &f.view.Upstreams[1]
+			u.Leaving, u.Removed, u.Accepting = c.leaving, c.removed, !c.leaving
 			f.balancer.SetView(f.now, f.view)
 			sent := 0
-			for range 15 {
+			for range 100 {
 				f.now = f.now.Add(100 * time.Millisecond)
 				f.confirmed = f.now
 				f.report(agent(0), hickorysteering.StateAccepting)
