Let one balancer read the store for the others

Cause: every balancer watched the store.

Change: hickorydirectory.Source decides where changes come from. The balancers of a zone follow the one with the lowest rank, the lowest of the zones follow the lowest of all, and that one watches the store; nobody has more than 16 followers. A follower calls directory.Changes, which is held for 250 ms or until there is a change, and gets only what it lacks and the age of the knowledge. It follows another one, or reads the store, when a call fails, when the one it follows has lost the store or is stopping, or when the knowledge is 2.5 s old. A reset of an unknown flow still needs the own call of the store as confirmation. A balancer waits 40 ms for a first state of another one before it lists the store. Balancers send their members with zone and age, so that ended ones are forgotten. Removals carry how long the upstream stays in use; a follower could otherwise have kept an entry that the reader used only because it might have expired. A call on a connection that the peer has closed is sent on a new one: a peer that had restarted counted as failed.

Conclusion: calls no longer grow with the fleet except for starts and confirmations.

--- a/core/hickorydirectory/apply.go
+++ b/core/hickorydirectory/apply.go
@@ -1,6 +1,8 @@
 package hickorydirectory
 
 import (
+	"time"
+
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/schema/hickoryid"
 	"hickoryworks/schema/hickorymessage"
@@ -28,7 +30,9 @@
 			d.changeCount++
 		}
 	}
-	d.through = max(d.through, batch.Through)
+	if batch.Complete || batch.Since <= d.through {
+		d.through = max(d.through, batch.Through)
+	}
 	return d.changeCount != before
 }
 
@@ -39,7 +43,7 @@
 	case change.Upstream != nil:
 		d.setUpstream(now, change.Upstream)
 	case change.Removed != nil:
-		d.markRemoved(now, change.Removed.ID, Revision(change.Removed.Revision))
+		d.markRemoved(now, change.Removed.ID, Revision(change.Removed.Revision), change.Removed.ExpiryTime.Value())
 	case change.Zone != nil:
 		d.setZone(now, change.Zone)
 	}
@@ -75,14 +79,18 @@
 	d.changeCount++
 }
 
-func (d *Directory) markRemoved(now hickorymodel.Instant, id hickoryid.UpstreamID, revision Revision) {
+// markRemoved records that an entry was removed. Expiry is set if another balancer
+// still uses the upstream for that time, because the entry may only have expired.
+func (d *Directory) markRemoved(now hickorymodel.Instant, id hickoryid.UpstreamID, revision Revision, expiry time.Duration) {
 	record, known := d.upstreams[id]
 	if !known {
 		// An older entry may still arrive from another balancer.
 		d.upstreams[id] = &upstreamRecord{revision: revision, removedAt: now}
 		return
 	}
-	if revision <= record.revision {
+	// A removal ends an entry of the same revision: an entry that cannot be decoded
+	// counts as removed, also at balancers that have applied it.
+	if revision < record.revision {
 		return
 	}
 	record.revision = revision
@@ -90,8 +98,12 @@
 		return
 	}
 	record.removedAt = now
-	if d.mayHaveExpired(now) {
+	switch {
+	case expiry > 0:
+		record.usableUntil = now.Add(expiry)
+	case d.mayHaveExpired(now):
 		record.usableUntil = d.storeRestoredAt.Add(expiryGrace)
+	default:
 	}
 	d.changeCount++
 }
@@ -137,7 +149,7 @@
 	}
 	for id := range d.upstreams {
 		if !listedUpstreams[id] {
-			d.markRemoved(now, id, batch.Through)
+			d.markRemoved(now, id, batch.Through, 0)
 		}
 	}
 	for zone, record := range d.zones {
--- a/core/hickorydirectory/change.go
+++ b/core/hickorydirectory/change.go
@@ -25,6 +25,9 @@
 	// Through is the revision up to which all changes of the store are known with
 	// this batch and the ones before it.
 	Through Revision
+	// Since is the revision after which the batch has all changes up to Through. A
+	// batch that leaves a gap after what is known does not count up to Through.
+	Since Revision
 	// Complete is true for a listing of the whole state: a record that is neither
 	// in it nor newer than Through does not exist.
 	Complete       bool
--- a/core/hickorydirectory/directory.go
+++ b/core/hickorydirectory/directory.go
@@ -31,6 +31,9 @@
 	zones     map[hickoryid.ZoneName]*zoneRecord
 	// through is the highest revision up to which all changes are known.
 	through Revision
+	// forgottenThrough is the highest revision of a removal that was deleted after
+	// retention. Changes since an earlier one cannot be listed any more.
+	forgottenThrough Revision
 	// storeLost is true from the first failed call to the store until its next
 	// answer.
 	storeLost bool
@@ -89,6 +92,7 @@
 			changed = true
 		}
 		if now.Sub(record.removedAt) > retention {
+			d.forgottenThrough = max(d.forgottenThrough, record.revision)
 			delete(d.upstreams, id)
 			changed = true
 		}
--- a/core/hickorydirectory/exchange.go
+++ b/core/hickorydirectory/exchange.go
@@ -32,36 +32,70 @@
 // Export returns the whole state for another balancer, or nil while the state is
 // not complete.
 func (d *Directory) Export(now hickorymodel.Instant) *hickorymessage.DirectoryState {
+	return d.exportSince(now, 0, 0)
+}
+
+// ExportChanges returns what another balancer lacks that has all changes up to a
+// revision and a version of the configuration. It returns nil if that is nothing.
+func (d *Directory) ExportChanges(now hickorymodel.Instant, since Revision, version int) *hickorymessage.DirectoryState {
+	if !d.HasChanges(since, version) {
+		return nil
+	}
+	if since < d.forgottenThrough {
+		return d.Export(now)
+	}
+	return d.exportSince(now, since, version)
+}
+
+// HasChanges reports whether the state has changes after a revision, or a newer
+// version of the configuration.
+func (d *Directory) HasChanges(since Revision, version int) bool {
+	return d.StateComplete() && (since < d.through || version < d.Version())
+}
+
+// exportSince returns the records that are newer than a revision, and the
+// configuration if it is newer than a version.
+func (d *Directory) exportSince(now hickorymodel.Instant, since Revision, version int) *hickorymessage.DirectoryState {
 	if !d.StateComplete() {
 		return nil
 	}
 	state := &hickorymessage.DirectoryState{
 		Revision:  int(d.through),
-		Table:     d.table,
+		Since:     int(since),
 		Upstreams: []hickorymessage.ListedUpstream{},
 		Removed:   []hickorymessage.RemovedUpstream{},
 		Zones:     []hickorymessage.ZoneMark{},
 	}
+	if d.Version() > version {
+		state.Table = d.table
+	}
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		record := d.upstreams[id]
-		if record.removedAt != 0 && !now.Before(record.usableUntil) {
-			state.Removed = append(state.Removed, hickorymessage.RemovedUpstream{ID: id, Revision: int(record.revision)})
+		if record.revision <= since && since > 0 {
 			continue
 		}
-		entry := record.listed
-		entry.ColdTime = hickoryid.NewDuration(record.coldUntil.Sub(now))
-		state.Upstreams = append(state.Upstreams, entry)
+		if record.removedAt == 0 || now.Before(record.usableUntil) {
+			entry := record.listed
+			entry.ColdTime = hickoryid.NewDuration(record.coldUntil.Sub(now))
+			state.Upstreams = append(state.Upstreams, entry)
+		}
+		if record.removedAt != 0 {
+			expiry := hickoryid.NewDuration(record.usableUntil.Sub(now))
+			state.Removed = append(state.Removed, hickorymessage.RemovedUpstream{ID: id, Revision: int(record.revision), ExpiryTime: expiry})
+		}
 	}
 	for _, zone := range slices.Sorted(maps.Keys(d.zones)) {
-		state.Zones = append(state.Zones, d.zones[zone].mark)
+		if mark := d.zones[zone].mark; since == 0 || Revision(mark.Revision) > since {
+			state.Zones = append(state.Zones, mark)
+		}
 	}
 	return state
 }
 
-// Merge applies the state of another balancer and reports whether the view has
-// changed.
+// Merge applies the state of another balancer, or its changes since a revision, and
+// reports whether the view has changed.
 func (d *Directory) Merge(now hickorymodel.Instant, state *hickorymessage.DirectoryState) bool {
-	batch := &Batch{Through: Revision(state.Revision), Complete: true}
+	batch := &Batch{Through: Revision(state.Revision), Since: Revision(state.Since), Complete: state.Since == 0}
 	if state.Table != nil {
 		batch.Changes = append(batch.Changes, Change{Table: state.Table})
 	}
--- /dev/null
+++ b/core/hickorydirectory/source.go
@@ -0,0 +1,203 @@
+package hickorydirectory
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hickoryworks/core/hickorymodel"
+	"hickoryworks/schema/hickoryid"
+)
+
+const (
+	// followLimit is the largest age of the knowledge that a balancer gets through
+	// others before it reads the store itself. A reader's knowledge is up to the pause
+	// between two watches and two answers of a slow store old, and each balancer on
+	// the way adds a call.
+	followLimit = 2500 * time.Millisecond
+	// maxFollowers bounds the balancers that follow one other, so that its calls do
+	// not grow with the fleet.
+	maxFollowers = 16
+	// rejectTime is how long a balancer is not followed after it has answered that its
+	// own knowledge is not current.
+	rejectTime = time.Second
+	// FirstReadDelay is how long a balancer waits for the first state of another one
+	// before it lists the store: some round trips. A listing takes a call for each
+	// page.
+	FirstReadDelay = 40 * time.Millisecond
+	// parentInterval is the time between two choices of the balancer to follow.
+	parentInterval = time.Second
+)
+
+// Source decides where a balancer gets published changes from: from another balancer,
+// which it follows, or from the store. The balancers of a zone follow the one with the
+// lowest rank, those with the lowest rank of their zones follow the lowest of all, and
+// that one reads the store. A balancer only follows others with a lower rank than its
+// own, so that none follows itself through others. Each decides by itself from what it
+// hears: one that finds nobody to follow, or whose knowledge gets old, reads the store.
+// It is not safe for concurrent use; one goroutine owns it.
+type Source struct {
+	self  hickoryid.Endpoint
+	zone  hickoryid.ZoneName
+	peers *Peers
+
+	startedAt hickorymodel.Instant
+	// parent is the balancer that this one follows; empty while there is none.
+	parent   hickoryid.Endpoint
+	chosenAt hickorymodel.Instant
+	// calling is true while a call to the parent is pending.
+	calling bool
+	// rejectedUntil has the balancers whose knowledge was not current.
+	rejectedUntil map[hickoryid.Endpoint]hickorymodel.Instant
+	// followedUntil and readUntil are the times up to which all published changes are
+	// known through the parent and by reading the store; 0 for never.
+	followedUntil hickorymodel.Instant
+	readUntil     hickorymodel.Instant
+	// storeLost is true from a failed call to the store until the next answer.
+	storeLost bool
+	stopping  bool
+}
+
+// NewSource returns the source of a balancer that starts now.
+func NewSource(now hickorymodel.Instant, self hickoryid.Endpoint, zone hickoryid.ZoneName, peers *Peers) *Source {
+	return &Source{self: self, zone: zone, peers: peers, startedAt: now, rejectedUntil: map[hickoryid.Endpoint]hickorymodel.Instant{}}
+}
+
+// Stop makes the balancer answer that it is not to be followed any more.
+func (s *Source) Stop() {
+	s.stopping = true
+}
+
+// Next returns the balancer to call for changes and true, unless a call is pending or
+// there is nobody to follow.
+func (s *Source) Next(now hickorymodel.Instant) (hickoryid.Endpoint, bool) {
+	if s.calling {
+		return "", false
+	}
+	s.chooseParent(now)
+	if s.parent == "" {
+		return "", false
+	}
+	s.calling = true
+	return s.parent, true
+}
+
+// RecordAnswer records the answer of the parent: its knowledge has an age, and it is
+// to be followed further if that is current.
+func (s *Source) RecordAnswer(now hickorymodel.Instant, peer hickoryid.Endpoint, current bool, age time.Duration) {
+	s.calling = false
+	s.peers.RecordContact(now, peer, "")
+	if !current {
+		s.rejectedUntil[peer] = now.Add(rejectTime)
+		s.parent = ""
+		return
+	}
+	s.followedUntil = max(s.followedUntil, now.Add(-age))
+}
+
+// RecordFailure records that the parent has not answered.
+func (s *Source) RecordFailure(now hickorymodel.Instant, peer hickoryid.Endpoint) {
+	s.calling = false
+	s.peers.RecordFailure(now, peer)
+	s.parent = ""
+}
+
+// RecordRead records that the store has answered.
+func (s *Source) RecordRead() {
+	s.storeLost = false
+}
+
+// RecordKnown records a time up to which all published changes are known by reading
+// the store.
+func (s *Source) RecordKnown(until hickorymodel.Instant) {
+	s.readUntil = max(s.readUntil, until)
+}
+
+// RecordStoreFailure records that a call to the store has failed.
+func (s *Source) RecordStoreFailure() {
+	s.storeLost = true
+}
+
+// Reading reports whether the balancer is to read the store itself. StateComplete says
+// whether it has a first state.
+func (s *Source) Reading(now hickorymodel.Instant, stateComplete bool) bool {
+	if !stateComplete {
+		return len(s.peers.seeds) == 0 || now.Sub(s.startedAt) >= FirstReadDelay
+	}
+	s.chooseParent(now)
+	return s.parent == "" || now.Sub(max(s.followedUntil, s.startedAt)) > followLimit
+}
+
+// Age returns the age of the balancer's knowledge, and whether that is current, so that
+// others may follow it.
+func (s *Source) Age(now hickorymodel.Instant) (time.Duration, bool) {
+	knownUntil := max(s.followedUntil, s.readUntil)
+	age := now.Sub(knownUntil)
+	if reading := s.parent == "" || now.Sub(s.followedUntil) > followLimit; reading && s.storeLost {
+		return age, false
+	}
+	return age, knownUntil != 0 && age <= followLimit && !s.stopping
+}
+
+// chooseParent chooses the balancer to follow again when there is none, or once in
+// parentInterval.
+func (s *Source) chooseParent(now hickorymodel.Instant) {
+	if s.parent != "" && now.Sub(s.chosenAt) < parentInterval {
+		return
+	}
+	s.chosenAt = now
+	s.parent = ""
+	for peer, until := range s.rejectedUntil {
+		if !now.Before(until) {
+			delete(s.rejectedUntil, peer)
+		}
+	}
+	inZone, leaders := s.lowerRanked(now)
+	lower := inZone
+	if len(lower) == 0 {
+		lower = leaders
+	}
+	if len(lower) > 0 {
+		s.parent = lower[(len(lower)-1)/maxFollowers]
+	}
+}
+
+// lowerRanked returns the balancers of the own zone with a lower rank than this one,
+// and those of the lowest rank in each other zone, if lower than this one's, both in
+// the order of their ranks.
+func (s *Source) lowerRanked(now hickorymodel.Instant) (inZone, leaders []hickoryid.Endpoint) {
+	own := rankOf(s.self)
+	lowest := map[hickoryid.ZoneName]hickoryid.Endpoint{}
+	for _, peer := range s.peers.availablePeers(now) {
+		zone := s.peers.records[peer].zone
+		if _, rejected := s.rejectedUntil[peer]; zone == "" || rejected || rankOf(peer) >= own {
+			continue
+		}
+		if zone == s.zone {
+			inZone = append(inZone, peer)
+			continue
+		}
+		if other, known := lowest[zone]; !known || rankOf(peer) < rankOf(other) {
+			lowest[zone] = peer
+		}
+	}
+	for _, peer := range lowest {
+		leaders = append(leaders, peer)
+	}
+	slices.SortFunc(inZone, compareRanks)
+	slices.SortFunc(leaders, compareRanks)
+	return inZone, leaders
+}
+
+// rankOf returns a balancer's position in an order that all balancers agree on.
+func rankOf(peer hickoryid.Endpoint) uint64 {
+	return xxhash.Sum64String(string(peer))
+}
+
+func compareRanks(a, b hickoryid.Endpoint) int {
+	if rankOf(a) < rankOf(b) {
+		return -1
+	}
+	return 1
+}
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -72,6 +72,10 @@
 	// confirmRequests signals to the storeFollower that the decide duty needs
 	// confirmation that it has all published changes.
 	confirmRequests *hickoryring.WakeRing
+	// readRequests signals to the storeFollower that it is to watch the store again.
+	readRequests   *hickoryring.WakeRing
+	changesCalls   *hickoryring.ChangesRing
+	changesFetches *hickoryring.ChangesFetchRing
 }
 
 // BalancerOption changes a balancer at construction.
@@ -105,6 +109,9 @@
 			stateCalls:      hickoryring.NewStateRing(),
 			stateRequests:   hickoryring.NewStateFetchRing(),
 			confirmRequests: hickoryring.NewWakeRing(),
+			readRequests:    hickoryring.NewWakeRing(),
+			changesCalls:    hickoryring.NewChangesRing(),
+			changesFetches:  hickoryring.NewChangesFetchRing(),
 		},
 	}
 	for _, option := range options {
@@ -128,7 +135,7 @@
 	if b.controlServer, err = hickoryrpc.Listen(b.settings.ControlEndpoint); err != nil {
 		return err
 	}
-	if err = b.controlServer.Register(stateService, &stateReceiver{stateCalls: b.rings.stateCalls}); err != nil {
+	if err = b.controlServer.Register(stateService, &stateReceiver{stateCalls: b.rings.stateCalls, changesCalls: b.rings.changesCalls}); err != nil {
 		return err
 	}
 	if b.readyServer, err = listenReadiness(b.settings.ReadyEndpoint, b.translation.Readiness(b.Ready)); err != nil {
@@ -145,10 +152,11 @@
 // Start starts the duties, which run until Close.
 func (b *Balancer) Start(ctx context.Context) error {
 	b.group = hickoryduty.New(string(b.settings.Instance), b.logger)
-	follower := newStoreFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings.storeAnswers, b.rings.confirmRequests, b.clock, b.scope)
+	follower := newStoreFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings, b.clock, b.scope)
 	decider := b.newDecider(follower.confirmedUntil)
-	updater := b.newDirectoryUpdater(follower.recordApplied)
+	updater := b.newDirectoryUpdater(follower)
 	stateFetcher := &stateFetcher{client: b.peerClient, stateRequests: b.rings.stateRequests, stateCalls: b.rings.stateCalls, logger: b.logger}
+	changesFetcher := &changesFetcher{client: b.peerClient, changesFetches: b.rings.changesFetches, changesCalls: b.rings.changesCalls, logger: b.logger}
 	b.group.Add("receive from callers", func(ctx context.Context) error { return b.callerSocket.ReceiveBatches(ctx, b.rings.fromCallers) })
 	b.group.Add("receive from agents", func(ctx context.Context) error { return b.agentSocket.ReceiveBatches(ctx, b.rings.fromAgents) })
 	b.group.Add("decide", decider.run)
@@ -157,6 +165,7 @@
 	b.group.Add("follow the store", follower.run)
 	b.group.Add("keep the directory", updater.run)
 	b.group.Add("ask balancers", stateFetcher.run)
+	b.group.Add("follow a balancer", changesFetcher.run)
 	b.group.Add("control", b.controlServer.Serve)
 	b.group.Add("readiness", b.readyServer.serve)
 	addMetrics(b.group, b.exporter, b.scope,
@@ -183,20 +192,31 @@
 	return d
 }
 
-func (b *Balancer) newDirectoryUpdater(recordApplied func(hickorymodel.Instant)) *directoryUpdater {
+func (b *Balancer) newDirectoryUpdater(follower *storeFollower) *directoryUpdater {
 	random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
+	self := b.controlServer.Endpoint()
+	directory := hickorydirectory.New()
+	peers := hickorydirectory.NewPeers(self, b.settings.Zone, b.settings.Seeds, random)
+	source := hickorydirectory.NewSource(b.clock.Now(), self, b.settings.Zone, peers)
 	return &directoryUpdater{
-		clock:         b.clock,
-		logger:        b.logger,
-		self:          b.controlServer.Endpoint(),
-		directory:     hickorydirectory.New(),
-		peers:         hickorydirectory.NewPeers(b.controlServer.Endpoint(), b.settings.Seeds, random),
-		storeAnswers:  b.rings.storeAnswers,
-		stateCalls:    b.rings.stateCalls,
-		stateRequests: b.rings.stateRequests,
-		views:         b.rings.views,
-
-		recordApplied:  recordApplied,
+		clock:          b.clock,
+		logger:         b.logger,
+		self:           self,
+		zone:           b.settings.Zone,
+		directory:      directory,
+		peers:          peers,
+		source:         source,
+		waiters:        changesWaiters{directory: directory, source: source},
+		draining:       &b.draining,
+		storeAnswers:   b.rings.storeAnswers,
+		stateCalls:     b.rings.stateCalls,
+		stateRequests:  b.rings.stateRequests,
+		views:          b.rings.views,
+		changesCalls:   b.rings.changesCalls,
+		changesFetches: b.rings.changesFetches,
+		setReading:     follower.setReading,
+		readUntil:      follower.confirmedUntil,
+		recordApplied:  follower.recordApplied,
 		rejectedValues: map[hickorydirectory.RejectedValue]bool{},
 	}
 }
--- a/io/hickoryfabric/directory_updater.go
+++ b/io/hickoryfabric/directory_updater.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"hickoryworks/core/hickorydirectory"
@@ -16,7 +17,7 @@
 
 // directoryTickInterval is the time between two checks for expired entries and due
 // calls to other balancers.
-const directoryTickInterval = 200 * time.Millisecond
+const directoryTickInterval = 100 * time.Millisecond
 
 // maxRejectedValues bounds the rejected values that are remembered.
 const maxRejectedValues = 1024
@@ -29,12 +30,26 @@
 	clock         *hickoryclock.Clock
 	logger        *hickorylog.Logger
 	self          hickoryid.Endpoint
+	zone          hickoryid.ZoneName
 	directory     *hickorydirectory.Directory
 	peers         *hickorydirectory.Peers
+	source        *hickorydirectory.Source
+	waiters       changesWaiters
+	draining      *atomic.Bool
 	storeAnswers  *hickoryring.StoreRing
 	stateCalls    *hickoryring.StateRing
 	stateRequests *hickoryring.StateFetchRing
 	views         *hickoryring.DirectoryRing
+	// changesCalls carries calls for changes, of this balancer and of others;
+	// changesFetches those that this balancer is to send.
+	changesCalls   *hickoryring.ChangesRing
+	changesFetches *hickoryring.ChangesFetchRing
+	// setReading is called with the revision up to which all changes are known, and
+	// with whether the storeFollower is to watch the store.
+	setReading func(reading bool, through hickorydirectory.Revision)
+	// readUntil returns the time up to which the storeFollower knows that it has read
+	// all published changes.
+	readUntil func(now hickorymodel.Instant) hickorymodel.Instant
 	// recordApplied is called after an answer of the store that changed nothing, with
 	// the time at which the call was sent. After a change, the view carries that time
 	// as Confirmed.
@@ -45,6 +60,8 @@
 	confirmedUntil hickorymodel.Instant
 	// storeLost is true from a failed call to the store until the next answer.
 	storeLost bool
+	// reading is true while the storeFollower watches the store.
+	reading bool
 	// rejectedValues are the rejected values that have been logged. It has at most
 	// maxRejectedValues entries and is cleared when it is full.
 	rejectedValues map[hickorydirectory.RejectedValue]bool
@@ -53,17 +70,79 @@
 func (u *directoryUpdater) run(ctx context.Context) error {
 	ticker := time.NewTicker(directoryTickInterval)
 	defer ticker.Stop()
+	firstRead := time.NewTimer(hickorydirectory.FirstReadDelay)
+	defer firstRead.Stop()
+	u.tick()
+	u.follow()
 	for {
 		select {
+		case <-firstRead.C: // follow decides again
 		case <-ctx.Done():
 			return ctx.Err()
 		case answer := <-u.storeAnswers.Items():
 			u.handleStoreAnswer(answer)
 		case call := <-u.stateCalls.Items():
 			u.handleStateCall(call)
+		case call := <-u.changesCalls.Items():
+			u.handleChangesCall(call)
 		case <-ticker.C:
 			u.tick()
 		}
+		u.follow()
+	}
+}
+
+// follow sends the next call for changes if one is due, answers the calls of other
+// balancers for which there are changes, and tells the storeFollower whether to read.
+func (u *directoryUpdater) follow() {
+	now := u.clock.Now()
+	stateComplete := u.directory.StateComplete()
+	u.source.RecordKnown(u.readUntil(now))
+	reading := u.source.Reading(now, stateComplete)
+	if reading != u.reading {
+		u.reading = reading
+		u.logger.Log(hickoryevent.SourceChanged, hickorylog.Fields{"reading": reading, "known": stateComplete, "through": int(u.directory.Through())})
+	}
+	u.setReading(reading, u.directory.Through())
+	u.waiters.answerDue(now)
+	if !stateComplete {
+		return
+	}
+	if peer, due := u.source.Next(now); due {
+		u.changesFetches.Put(hickoryring.ChangesFetch{Peer: peer, Request: hickorymessage.ChangesRequest{
+			Sender: u.self, Zone: u.zone, Revision: int(u.directory.Through()), Version: u.directory.Version(),
+			WaitMillis: int(changesWait.Milliseconds()),
+		}})
+	}
+}
+
+// handleChangesCall handles a call of a balancer that follows this one, or the outcome
+// of a call to the one that this one follows.
+func (u *directoryUpdater) handleChangesCall(call hickoryring.ChangesCall) {
+	now := u.clock.Now()
+	switch {
+	case call.Request != nil:
+		u.peers.RecordContact(now, call.Request.Sender, call.Request.Zone)
+		u.waiters.add(now, call)
+	case call.Answer != nil:
+		if call.Answer.State != nil && u.directory.Merge(now, call.Answer.State) {
+			u.publish(string(call.Peer))
+		}
+		u.source.RecordAnswer(now, call.Peer, call.Answer.Current, time.Duration(call.Answer.AgeMillis)*time.Millisecond)
+	default:
+		u.source.RecordFailure(now, call.Peer)
+	}
+}
+
+// callReason returns why other balancers are called now.
+func (u *directoryUpdater) callReason() hickorydirectory.CallReason {
+	switch {
+	case !u.directory.StateComplete():
+		return hickorydirectory.CallIncomplete
+	case u.storeLost && u.reading:
+		return hickorydirectory.CallStoreLost
+	default:
+		return hickorydirectory.CallRoutine
 	}
 }
 
@@ -74,10 +153,13 @@
 	if u.directory.Tick(now) {
 		u.publish("lapse")
 	}
-	if peer, due := u.peers.Next(now, u.storeLost || !u.directory.StateComplete()); due {
+	if u.draining.Load() {
+		u.source.Stop()
+	}
+	if peer, due := u.peers.Next(now, u.callReason()); due {
 		u.stateRequests.Put(hickoryring.StateFetch{
 			Peer:    peer,
-			Request: hickorymessage.StateRequest{Sender: u.self, Digest: u.directory.Digest()},
+			Request: hickorymessage.StateRequest{Sender: u.self, Zone: &u.zone, Digest: u.directory.Digest()},
 		})
 	}
 }
@@ -89,6 +171,7 @@
 			u.logger.Log(hickoryevent.StoreLost, hickorylog.Fields{"error": answer.Err.Error(), "through": int(u.directory.Through())})
 		}
 		u.storeLost = true
+		u.source.RecordStoreFailure()
 		u.directory.StoreFailed()
 		return
 	}
@@ -98,6 +181,10 @@
 	}
 	u.logRejectedValues(answer.Batch.RejectedValues)
 	u.confirmedUntil = answer.SentAt
+	u.source.RecordRead()
+	// The answer itself may have taken maxAnswerTime; before that, the store has held
+	// the call until there was a change.
+	u.source.RecordKnown(max(answer.SentAt, u.clock.Now().Add(-maxAnswerTime)))
 	if u.directory.Apply(u.clock.Now(), answer.Batch) {
 		u.publish("store")
 		return
@@ -126,22 +213,26 @@
 	now := u.clock.Now()
 	switch {
 	case call.Request != nil:
-		u.peers.RecordContact(now, call.Request.Sender)
-		reply := hickorymessage.StateReply{Peers: u.peers.List()}
+		zone := hickoryid.ZoneName("")
+		if call.Request.Zone != nil {
+			zone = *call.Request.Zone
+		}
+		u.peers.RecordContact(now, call.Request.Sender, zone)
+		reply := hickorymessage.StateReply{Peers: []hickoryid.Endpoint{}, Members: u.peers.Members(now)}
 		if call.Request.Digest != u.directory.Digest() {
 			reply.State = u.directory.Export(now)
 		}
 		call.Reply <- reply
 	case call.Answer != nil:
-		u.peers.RecordContact(now, call.Peer)
-		u.peers.AddPeers(now, call.Answer.Peers)
+		u.peers.RecordContact(now, call.Peer, "")
+		u.peers.AddMembers(now, call.Answer.Members)
 		if call.Answer.State != nil && u.directory.Merge(now, call.Answer.State) {
 			u.publish(string(call.Peer))
 		}
 	case call.Seeds != nil:
 		u.peers.SetSeeds(call.Seeds)
 	default:
-		u.peers.RecordFailure(call.Peer)
+		u.peers.RecordFailure(now, call.Peer)
 	}
 }
 
--- a/io/hickoryfabric/state_fetcher.go
+++ b/io/hickoryfabric/state_fetcher.go
@@ -62,7 +62,8 @@
 // stateReceiver passes the calls of other balancers to the directoryUpdater, which
 // answers them.
 type stateReceiver struct {
-	stateCalls *hickoryring.StateRing
+	stateCalls   *hickoryring.StateRing
+	changesCalls *hickoryring.ChangesRing
 }
 
 // State replies with the known balancers and, when the digest in the request
--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -20,9 +20,10 @@
 	listTimeout = 2 * time.Second
 	// watchWait is how long the store holds a watch without changes; watchSlack is
 	// added to it for the timeout of the call. When a connection breaks without an
-	// error, the balancer misses changes for the sum of both at most, which must
-	// stay below the time within which a change has to take effect.
-	watchWait  = 3 * time.Second
+	// error, this balancer and those that follow it miss changes for the sum of both
+	// at most, which must stay below the time within which a change has to take
+	// effect. Few balancers watch, so that the watch can be short.
+	watchWait  = 700 * time.Millisecond
 	watchSlack = 700 * time.Millisecond
 	// maxAnswerTime is the longest time that a healthy store takes to answer.
 	maxAnswerTime = 300 * time.Millisecond
@@ -45,7 +46,8 @@
 )
 
 // storeFollower reads the published state from the store: one listing, then watches
-// for changes. Each outcome of a call goes to the directoryUpdater.
+// for changes, while the directoryUpdater wants it to. Otherwise it only calls the
+// store for a confirmation. Each outcome of a call goes to the directoryUpdater.
 type storeFollower struct {
 	store        Store
 	random       *rand.Rand
@@ -53,7 +55,9 @@
 	// confirmRequests shortens the pause before the next call: the decide duty needs
 	// confirmation that it has all published changes.
 	confirmRequests *hickoryring.WakeRing
-	callCounters    map[string]tally.Counter
+	// readRequests ends the wait while reading is false.
+	readRequests *hickoryring.WakeRing
+	callCounters map[string]tally.Counter
 
 	// listed is true after a listing. The next call is then a watch for changes after
 	// the revision through.
@@ -71,19 +75,30 @@
 	// write appliedUntil and read watchSentAt.
 	appliedUntil atomic.Int64
 	watchSentAt  atomic.Int64
+	// reading is true while the store is to be watched, and knownThrough is the
+	// revision up to which the directory has all changes. The directoryUpdater writes
+	// both.
+	reading      atomic.Bool
+	knownThrough atomic.Int64
 }
 
-func newStoreFollower(store Store, random *rand.Rand, storeAnswers *hickoryring.StoreRing, confirmRequests *hickoryring.WakeRing, clock *hickoryclock.Clock, scope tally.Scope) *storeFollower {
+func newStoreFollower(store Store, random *rand.Rand, rings balancerRings, clock *hickoryclock.Clock, scope tally.Scope) *storeFollower {
 	callCounters := map[string]tally.Counter{}
 	for _, outcome := range []string{"answered", "failed", "historyGone"} {
 		callCounters[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("store_calls")
 	}
-	return &storeFollower{store: store, random: random, storeAnswers: storeAnswers, confirmRequests: confirmRequests, clock: clock, callCounters: callCounters}
+	return &storeFollower{
+		store: store, random: random, clock: clock, callCounters: callCounters,
+		storeAnswers: rings.storeAnswers, confirmRequests: rings.confirmRequests, readRequests: rings.readRequests,
+	}
 }
 
 // run follows the store until the context ends.
 func (f *storeFollower) run(ctx context.Context) error {
 	for {
+		if err := f.waitUntilNeeded(ctx); err != nil {
+			return err
+		}
 		sent := f.clock.Now()
 		batch, err := f.callStore(ctx)
 		if ctx.Err() != nil {
@@ -98,8 +113,36 @@
 	}
 }
 
+// setReading sets whether the store is to be watched, and the revision up to which all
+// changes are known.
+func (f *storeFollower) setReading(reading bool, through hickorydirectory.Revision) {
+	f.knownThrough.Store(int64(through))
+	if f.reading.Swap(reading) != reading && reading {
+		f.readRequests.Put()
+	}
+}
+
+// waitUntilNeeded waits until the store is to be watched, or is to be called once for a
+// confirmation.
+func (f *storeFollower) waitUntilNeeded(ctx context.Context) error {
+	for !f.confirming && !f.reading.Load() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.readRequests.Items():
+		case <-f.confirmRequests.Items():
+			f.confirming = true
+		}
+	}
+	return nil
+}
+
 // callStore sends one listing or watch.
 func (f *storeFollower) callStore(ctx context.Context) (*hickorydirectory.Batch, error) {
+	if known := hickorydirectory.Revision(f.knownThrough.Load()); known > f.through {
+		f.through = known
+		f.listed = true // by another balancer
+	}
 	if !f.listed {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
@@ -121,6 +164,9 @@
 // after it. Pauses after failures keep their length.
 func (f *storeFollower) waitForNextCall(ctx context.Context, wait time.Duration, answered bool) error {
 	f.confirming = false
+	if !f.reading.Load() {
+		wait = max(wait, minCallPause)
+	}
 	if !answered || wait <= minCallPause {
 		return sleep(ctx, wait)
 	}
--- a/io/hickoryfabric/store_follower_test.go
+++ b/io/hickoryfabric/store_follower_test.go
@@ -23,7 +23,8 @@
 
 func testFollower(store Store) *storeFollower {
 	store.HistoryGone = func(err error) bool { return errors.Is(err, errHistoryGone) }
-	return newStoreFollower(store, rand.New(rand.NewPCG(1, 1)), hickoryring.NewStoreRing(), hickoryring.NewWakeRing(), hickoryclock.New(), tally.NoopScope)
+	rings := balancerRings{storeAnswers: hickoryring.NewStoreRing(), confirmRequests: hickoryring.NewWakeRing(), readRequests: hickoryring.NewWakeRing()}
+	return newStoreFollower(store, rand.New(rand.NewPCG(1, 1)), rings, hickoryclock.New(), tally.NoopScope)
 }
 
 // TestFollowerPauses guards against too many calls to the store: each call is
--- a/io/hickoryrpc/client.go
+++ b/io/hickoryrpc/client.go
@@ -44,12 +44,26 @@
 // Call calls a method of a peer and fills in reply. It fails when the peer can't be
 // reached, the method returns an error or the context ends. A connection on which a
 // call got no reply is closed and not used again, since the peer may never answer on
-// it again.
+// it again. A call that an idle connection did not take, because the peer has closed it
+// since, is sent on a new one.
 func (c *Client) Call(ctx context.Context, peer hickoryid.Endpoint, method string, request, reply any) error {
-	connection, err := c.acquireConnection(ctx, peer)
+	connection := c.takeIdle(peer)
+	if connection != nil {
+		err := c.callOn(ctx, connection, peer, method, request, reply)
+		if !errors.Is(err, rpc.ErrShutdown) {
+			return err
+		}
+	}
+	connection, err := c.connect(ctx, peer)
 	if err != nil {
 		return errors.Wrapf(err, "connect to %s for %s", peer, method)
 	}
+	return c.callOn(ctx, connection, peer, method, request, reply)
+}
+
+// callOn calls a method on a connection and keeps the connection for later calls if it
+// still works.
+func (c *Client) callOn(ctx context.Context, connection *rpc.Client, peer hickoryid.Endpoint, method string, request, reply any) error {
 	call := connection.Go(method, request, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -67,15 +81,17 @@
 	return errors.Wrapf(call.Error, "call %s of %s", method, peer)
 }
 
-// acquireConnection returns the idle connection to a peer, or else a new one.
-func (c *Client) acquireConnection(ctx context.Context, peer hickoryid.Endpoint) (*rpc.Client, error) {
+// takeIdle returns the idle connection to a peer, or nil if there is none.
+func (c *Client) takeIdle(peer hickoryid.Endpoint) *rpc.Client {
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	connection := c.idle[peer]
 	delete(c.idle, peer)
-	c.mutex.Unlock()
-	if connection != nil {
-		return connection, nil
-	}
+	return connection
+}
+
+// connect opens a connection to a peer.
+func (c *Client) connect(ctx context.Context, peer hickoryid.Endpoint) (*rpc.Client, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", string(peer))
 	if err != nil {
--- a/io/hickoryrpc/fuzz_test.go
+++ b/io/hickoryrpc/fuzz_test.go
@@ -15,6 +15,8 @@
 	for _, text := range []string{
 		`{}`, `null`, `[]`, `{"sections":[]}`, `{"sections":null}`, `{"versions":{"a":1}}`,
 		`{"digest":"00","starting":true}`, `{"sections":[{"team":"a","version":1,"body":"x"}]}`,
+		`{"current":true,"ageMillis":1,"state":{"revision":9,"since":3,"upstreams":[],"removed":[{"id":"u-1","revision":8}],"zones":[]}}`,
+		`{"sender":"10.0.0.1:1","zone":"a","revision":1,"version":2,"waitMillis":250}`, `{"peers":[],"members":[{"endpoint":"10.0.0.1:1","zone":"a"}]}`,
 		`{"sections":[{"team":"a","version":-1}]}`, `{"buckets":[1e99]}`, `{"teams":["a"]`,
 	} {
 		f.Add([]byte(text))
@@ -28,6 +30,10 @@
 		checkMessage(t, data, &hickorymessage.PushRequest{}, &hickorymessage.PushRequest{})
 		checkMessage(t, data, &hickorymessage.PushReply{}, &hickorymessage.PushReply{})
 		checkMessage(t, data, &hickorymessage.Datagram{}, &hickorymessage.Datagram{})
+		checkMessage(t, data, &hickorymessage.StateRequest{}, &hickorymessage.StateRequest{})
+		checkMessage(t, data, &hickorymessage.StateReply{}, &hickorymessage.StateReply{})
+		checkMessage(t, data, &hickorymessage.ChangesRequest{}, &hickorymessage.ChangesRequest{})
+		checkMessage(t, data, &hickorymessage.ChangesReply{}, &hickorymessage.ChangesReply{})
 	})
 }
 
--- a/schema/hickoryevent/event_generated.go
+++ b/schema/hickoryevent/event_generated.go
@@ -137,6 +137,8 @@
 	DirectoryChanged = Event{Number: 1533, Name: "DirectoryChanged", Level: "info", Text: "published state changed"}
 	// PeerUnanswered: A call to another balancer failed; the next call goes to a different one.
 	PeerUnanswered = Event{Number: 1534, Name: "PeerUnanswered", Level: "info", Text: "balancer does not answer"}
+	// SourceChanged: The balancer has begun or ceased to read the store itself. It reads when it finds no other balancer to follow, or when what it hears from others is more than 2.5 s old; the field reading says which, known whether it has a complete state.
+	SourceChanged = Event{Number: 1535, Name: "SourceChanged", Level: "info", Text: "source of changes changed"}
 	// BecameReady: The configuration and the list of upstreams are complete, and agents answer.
 	BecameReady = Event{Number: 1540, Name: "BecameReady", Level: "info", Text: "ready for packets"}
 	// BecameUnready: The configuration or the list of upstreams is not complete yet, no agent answers, or the process is being stopped.
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -7,6 +7,105 @@
 import hickoryid "hickoryworks/schema/hickoryid"
 import "unicode/utf8"
 
+// ChangesReply answers a ChangesRequest.
+type ChangesReply struct {
+	// AgeMillis is how long ago, in milliseconds, the replying balancer knew all
+	// published changes.
+	AgeMillis int `json:"ageMillis" yaml:"ageMillis"`
+
+	// Current is false when the knowledge of the replying balancer is not current, or
+	// it is about to stop; the sender then asks another one.
+	Current bool `json:"current" yaml:"current"`
+
+	// State corresponds to the JSON schema field "state".
+	State *DirectoryState `json:"state,omitempty,omitzero" yaml:"state,omitempty"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ChangesReply) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["ageMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field ageMillis in ChangesReply: required")
+	}
+	if _, ok := raw["current"]; raw != nil && !ok {
+		return fmt.Errorf("field current in ChangesReply: required")
+	}
+	type Plain ChangesReply
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "ageMillis", 0)
+	}
+	*j = ChangesReply(plain)
+	return nil
+}
+
+// ChangesRequest asks a balancer for the changes of the published state that the
+// sender does not have.
+type ChangesRequest struct {
+	// Revision is the revision up to which the sender has all changes.
+	Revision int `json:"revision" yaml:"revision"`
+
+	// Sender is the control socket of the balancer that sends the request.
+	Sender hickoryid.Endpoint `json:"sender" yaml:"sender"`
+
+	// Version is the version of the sender's configuration.
+	Version int `json:"version" yaml:"version"`
+
+	// WaitMillis is how long the receiver may hold the request until it has a change.
+	WaitMillis int `json:"waitMillis" yaml:"waitMillis"`
+
+	// Zone is the zone of the sender.
+	Zone hickoryid.ZoneName `json:"zone" yaml:"zone"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ChangesRequest) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["revision"]; raw != nil && !ok {
+		return fmt.Errorf("field revision in ChangesRequest: required")
+	}
+	if _, ok := raw["sender"]; raw != nil && !ok {
+		return fmt.Errorf("field sender in ChangesRequest: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in ChangesRequest: required")
+	}
+	if _, ok := raw["waitMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field waitMillis in ChangesRequest: required")
+	}
+	if _, ok := raw["zone"]; raw != nil && !ok {
+		return fmt.Errorf("field zone in ChangesRequest: required")
+	}
+	type Plain ChangesRequest
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Revision {
+		return fmt.Errorf("field %s: must be >= %v", "revision", 0)
+	}
+	if 0 > plain.Version {
+		return fmt.Errorf("field %s: must be >= %v", "version", 0)
+	}
+	if 10000 < plain.WaitMillis {
+		return fmt.Errorf("field %s: must be <= %v", "waitMillis", 10000)
+	}
+	if 0 > plain.WaitMillis {
+		return fmt.Errorf("field %s: must be >= %v", "waitMillis", 0)
+	}
+	*j = ChangesRequest(plain)
+	return nil
+}
+
 // DirectoryState is the whole directory of a balancer: its copy of the published
 // state.
 type DirectoryState struct {
@@ -17,6 +116,10 @@
 	// of the sender is complete.
 	Revision int `json:"revision" yaml:"revision"`
 
+	// Since is the revision after which the state has all changes; 0 when it is the
+	// whole state.
+	Since int `json:"since,omitempty,omitzero" yaml:"since,omitempty"`
+
 	// Table corresponds to the JSON schema field "table".
 	Table *RouteTable `json:"table,omitempty,omitzero" yaml:"table,omitempty"`
 
@@ -56,6 +159,12 @@
 	if 0 > plain.Revision {
 		return fmt.Errorf("field %s: must be >= %v", "revision", 0)
 	}
+	if v, ok := raw["since"]; !ok || v == nil {
+		plain.Since = 0
+	}
+	if 0 > plain.Since {
+		return fmt.Errorf("field %s: must be >= %v", "since", 0)
+	}
 	if len(plain.Upstreams) > 65536 {
 		return fmt.Errorf("field %s length: must be <= %d", "upstreams", 65536)
 	}
@@ -147,8 +256,51 @@
 	return nil
 }
 
+// Member is a balancer of the fleet.
+type Member struct {
+	// AgeMillis is how long ago the balancer is known to have run, in milliseconds.
+	AgeMillis int `json:"ageMillis,omitempty,omitzero" yaml:"ageMillis,omitempty"`
+
+	// Endpoint is the control socket of the balancer.
+	Endpoint hickoryid.Endpoint `json:"endpoint" yaml:"endpoint"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone hickoryid.ZoneName `json:"zone" yaml:"zone"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Member) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["endpoint"]; raw != nil && !ok {
+		return fmt.Errorf("field endpoint in Member: required")
+	}
+	if _, ok := raw["zone"]; raw != nil && !ok {
+		return fmt.Errorf("field zone in Member: required")
+	}
+	type Plain Member
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["ageMillis"]; !ok || v == nil {
+		plain.AgeMillis = 0
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "ageMillis", 0)
+	}
+	*j = Member(plain)
+	return nil
+}
+
 // RemovedUpstream says that an entry was removed from the list of upstreams.
 type RemovedUpstream struct {
+	// ExpiryTime is set when the entry may only have expired while the store was not
+	// available: the upstream stays in use for this time.
+	ExpiryTime hickoryid.Duration `json:"expiryTime,omitempty,omitzero" yaml:"expiryTime,omitempty"`
+
 	// ID corresponds to the JSON schema field "id".
 	ID hickoryid.UpstreamID `json:"id" yaml:"id"`
 
@@ -173,6 +325,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["expiryTime"]; !ok || v == nil {
+		plain.ExpiryTime = "0s"
+	}
 	if 0 > plain.Revision {
 		return fmt.Errorf("field %s: must be >= %v", "revision", 0)
 	}
@@ -362,8 +517,11 @@
 
 // StateReply answers a StateRequest.
 type StateReply struct {
-	// Peers are the control sockets of other balancers, those with the latest contact
-	// first.
+	// Members are the replying balancer and others that it knows.
+	Members []Member `json:"members,omitempty,omitzero" yaml:"members,omitempty"`
+
+	// Peers are the control sockets of other balancers; balancers that name Members
+	// leave it empty.
 	Peers []hickoryid.Endpoint `json:"peers" yaml:"peers"`
 
 	// State corresponds to the JSON schema field "state".
@@ -384,6 +542,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if len(plain.Members) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "members", 64)
+	}
 	if len(plain.Peers) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "peers", 64)
 	}
@@ -399,6 +560,9 @@
 
 	// Sender is the control socket of the balancer that sends the request.
 	Sender hickoryid.Endpoint `json:"sender" yaml:"sender"`
+
+	// Zone is the zone of the sender; balancers of older versions do not name it.
+	Zone *hickoryid.ZoneName `json:"zone,omitempty,omitzero" yaml:"zone,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
