Leave out compression between balancers of the datagram fabric

A balancer's peak was 19.4 MB; each end of a compressed connection takes about 0.8 MB, and with followers a balancer has up to some 30 connections.

Change: hickoryrpc.WithoutCompression; the balancers of the datagram fabric use it. A server looks at the first byte and serves either kind, so a compressed client of an older build is still served; a new client is not served by an older build, whose balancers then read the store for themselves until they are replaced. A balancer has at most 10 followers, which bounds its plain bytes.

Ruled out: HuffmanOnly, whose compressor has the same tables.

Conclusion: state changes are small and rare, so plain JSON costs nothing that shows.

--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -98,7 +98,7 @@
 		scope:       tally.NoopScope,
 		clock:       hickoryclock.New(),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		peerClient:  hickoryrpc.NewClient(),
+		peerClient:  hickoryrpc.NewClient(hickoryrpc.WithoutCompression()),
 		rings: balancerRings{
 			fromCallers:     hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropOldest),
 			fromAgents:      hickoryring.NewFrameRing(receiveCapacity, hickoryring.DropOldest),
--- a/io/hickoryrpc/client.go
+++ b/io/hickoryrpc/client.go
@@ -23,6 +23,8 @@
 // concurrent use.
 type Client struct {
 	meter *Meter
+	// compressing is true if connections are compressed.
+	compressing bool
 
 	mutex sync.Mutex
 	// idle holds at most one connection for each peer and maxIdleConnections in all,
@@ -31,9 +33,24 @@
 	closed bool
 }
 
+// ClientOption changes a client at construction.
+type ClientOption func(*Client)
+
+// WithoutCompression makes a client send plain JSON. A compressor takes 0.8 MB at each
+// end of a connection, which small messages do not justify.
+func WithoutCompression() ClientOption {
+	return func(c *Client) {
+		c.compressing = false
+	}
+}
+
 // NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{meter: &Meter{}, idle: map[hickoryid.Endpoint]*rpc.Client{}}
+func NewClient(options ...ClientOption) *Client {
+	c := &Client{meter: &Meter{}, compressing: true, idle: map[hickoryid.Endpoint]*rpc.Client{}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Meter returns the byte counts of all connections of the client.
@@ -97,12 +114,14 @@
 	if err != nil {
 		return nil, err
 	}
-	compressed, err := compress(c.meter.wrap(conn))
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
+	stream := c.meter.wrap(conn)
+	if c.compressing {
+		if stream, err = compress(stream); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
 	}
-	return jsonrpc.NewClient(compressed), nil
+	return jsonrpc.NewClient(stream), nil
 }
 
 // releaseConnection keeps a connection for later calls, or closes it when the peer has
--- a/io/hickoryrpc/client_test.go
+++ b/io/hickoryrpc/client_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"hickoryworks/schema/hickoryid"
 	"hickoryworks/schema/hickorymessage"
 )
 
@@ -20,7 +21,8 @@
 }
 
 // TestCallAfterRestartOfPeer guards against a peer that counts as failed although it
-// runs again, because a connection that ended with its predecessor was used once more.
+// runs again, because a connection that ended with its predecessor was used once more,
+// and against a server that serves only compressed or only plain connections.
 func TestCallAfterRestartOfPeer(t *testing.T) {
 	is := is.New(t)
 	server, err := Listen("127.0.0.1:0")
@@ -29,14 +31,23 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func(ctx context.Context) { ended <- server.Serve(ctx) }(ctx)
-	client := NewClient()
+	for _, client := range []*Client{NewClient(), NewClient(WithoutCompression())} {
+		callAfterClose(t, client, server)
+		is.NoErr(client.Close())
+	}
+	cancel()
+	<-ended
+}
+
+// callAfterClose calls a method three times and closes the idle connection after each,
+// as when the peer has ended it.
+func callAfterClose(t *testing.T, client *Client, server *Server) {
+	is := is.New(t)
 	for range 3 {
 		var reply hickorymessage.PullReply
 		request := hickorymessage.PullRequest{Instance: "a", Team: "pagebound", Version: 7}
 		is.NoErr(client.Call(t.Context(), server.Endpoint(), "relay.Pull", request, &reply))
-		is.NoErr(client.idle[server.Endpoint()].Close()) // as when the peer has closed it
+		is.Equal(reply.Version, hickoryid.SectionVersion(7))
+		is.NoErr(client.idle[server.Endpoint()].Close())
 	}
-	is.NoErr(client.Close())
-	cancel()
-	<-ended
 }
--- a/io/hickoryrpc/server.go
+++ b/io/hickoryrpc/server.go
@@ -1,6 +1,7 @@
 // Package hickoryrpc carries control messages between balancers, agents and tools.
-// It uses net/rpc over compressed connections, with a JSON codec, so that each
-// message is checked against its schema when it is decoded.
+// It uses net/rpc with a JSON codec, so that each message is checked against its schema
+// when it is decoded. A client compresses its connections unless it is told not to; a
+// server does what the client does.
 package hickoryrpc
 
 import (
@@ -72,7 +73,7 @@
 }
 
 // Rejected returns the number of connections that were closed without being served,
-// because maxConnections were open or compression could not be set up.
+// because maxConnections were open or because they ended before the first call.
 func (s *Server) Rejected() uint64 {
 	return s.rejected.Load()
 }
@@ -104,15 +105,9 @@
 		_ = conn.Close()
 		return
 	}
-	compressed, err := compress(s.meter.wrap(conn))
-	if err != nil {
-		s.rejected.Add(1)
-		_ = conn.Close()
-		return
-	}
 	s.open[conn] = struct{}{}
 	go func(_ context.Context) {
-		s.rpc.ServeCodec(jsonrpc.NewServerCodec(compressed))
+		s.serveCalls(conn)
 		s.mutex.Lock()
 		delete(s.open, conn)
 		s.mutex.Unlock()
@@ -120,6 +115,17 @@
 	}(ctx)
 }
 
+// serveCalls serves a connection until it ends.
+func (s *Server) serveCalls(conn net.Conn) {
+	stream, err := detect(s.meter.wrap(conn))
+	if err != nil {
+		s.rejected.Add(1)
+		_ = conn.Close()
+		return
+	}
+	s.rpc.ServeCodec(jsonrpc.NewServerCodec(stream))
+}
+
 // signalEnded wakes closeAll after a connection has ended. Nothing receives from ended
 // before the server stops, so the value is dropped when the channel is full; the
 // queued values wake closeAll as well.
