Give up a page of the first listing after half a second

Change: each page of a listing has a timeout of its own, 500 ms; each fourth attempt waits 2 s, for a store that is slower than that. Until the first listing has succeeded the pause between attempts does not grow.

Ruled out: a longer timeout with each attempt; after an outage of some seconds it ends in the same wait.

--- a/io/hickoryfabric/fixture_test.go
+++ b/io/hickoryfabric/fixture_test.go
@@ -192,7 +192,7 @@
 // context ends.
 func (s *storeStandin) functions() hickoryfabric.Store {
 	return hickoryfabric.Store{
-		List: func(context.Context) (*hickorydirectory.Batch, error) {
+		List: func(context.Context, time.Duration) (*hickorydirectory.Batch, error) {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
 			if s.down {
--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	// listTimeout bounds a listing. A store that is 60 times slower than usual needs
-	// about a second for all pages.
-	listTimeout = 2 * time.Second
+	// pageTimeout bounds each page of a listing: a store that is 60 times slower than
+	// usual takes 240 ms. A store that was silent does not answer the calls of that
+	// time any more, and callers wait for the first listing. Each patientAttempt-th
+	// attempt waits for slowPageTimeout, in case the store is slower still.
+	pageTimeout     = 500 * time.Millisecond
+	slowPageTimeout = 2 * time.Second
+	patientAttempt  = 4
 	// watchWait is how long the store holds a watch without changes; watchSlack is
 	// added to it for the timeout of the call. When a connection breaks without an
 	// error, this balancer and those that follow it miss changes for the sum of both
@@ -38,8 +42,8 @@
 	// confirm that there are no further changes: the shortest wait that the store
 	// accepts.
 	confirmWatchWait = time.Millisecond
-	// backoffBase is the pause after a failed call; it doubles with each further
-	// failure up to backoffLimit. Both are multiplied by a random factor from 0.5
+	// backoffBase is the pause after a failed call; after the first listing it doubles
+	// with each further failure up to backoffLimit. Both are multiplied by a random factor from 0.5
 	// to 1.5.
 	backoffBase  = 200 * time.Millisecond
 	backoffLimit = 800 * time.Millisecond
@@ -144,9 +148,11 @@
 		f.listed = true // by another balancer
 	}
 	if !f.listed {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		return f.store.List(ctx)
+		timeout := pageTimeout
+		if (f.failures+1)%patientAttempt == 0 {
+			timeout = slowPageTimeout
+		}
+		return f.store.List(ctx, timeout)
 	}
 	wait := watchWait
 	if f.confirming {
@@ -221,7 +227,10 @@
 		return 0
 	}
 	f.callCounters["failed"].Inc(1)
-	wait := min(backoffBase<<min(f.failures, 8), backoffLimit)
+	wait := backoffBase
+	if f.listed { // callers do not wait for the next answer
+		wait = min(backoffBase<<min(f.failures, 8), backoffLimit)
+	}
 	f.failures++
 	return wait/2 + time.Duration(f.random.Int64N(int64(wait)))
 }
--- a/io/hickoryfabric/store_follower_test.go
+++ b/io/hickoryfabric/store_follower_test.go
@@ -32,6 +32,9 @@
 func TestFollowerPauses(t *testing.T) {
 	is := is.New(t)
 	f := testFollower(Store{})
+	for range 20 {
+		is.True(f.recordOutcome(nil, errFailed) < 2*backoffBase) // callers wait for the first listing
+	}
 	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 4}, nil), batchPause)       // a key of no meaning has changed
 	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 4}, nil), time.Duration(0)) // the store held the watch
 	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 5, Changes: make([]hickorydirectory.Change, 1)}, nil), batchPause)
@@ -52,7 +55,7 @@
 	is := is.New(t)
 	calls := ""
 	f := testFollower(Store{
-		List: func(context.Context) (*hickorydirectory.Batch, error) {
+		List: func(context.Context, time.Duration) (*hickorydirectory.Batch, error) {
 			calls += "L"
 			return &hickorydirectory.Batch{Through: 7}, nil
 		},
@@ -81,8 +84,8 @@
 		is.True(time.Until(deadline) <= limit)
 	}
 	f := testFollower(Store{
-		List: func(ctx context.Context) (*hickorydirectory.Batch, error) {
-			requireDeadline(ctx, listTimeout)
+		List: func(_ context.Context, timeout time.Duration) (*hickorydirectory.Batch, error) {
+			is.Equal(timeout, pageTimeout)
 			return &hickorydirectory.Batch{}, nil
 		},
 		Watch: func(ctx context.Context, _ hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error) {
@@ -156,3 +159,20 @@
 	is.True(time.Since(begun) >= 2*minCallPause)
 	is.True(!f.confirming)
 }
+
+// TestListingOfSlowStore guards against a listing that never succeeds because the store
+// needs longer than pageTimeout, and against one that waits long for a store that was
+// silent when it was asked and answers again since.
+func TestListingOfSlowStore(t *testing.T) {
+	is := is.New(t)
+	timeouts := []time.Duration{}
+	f := testFollower(Store{List: func(_ context.Context, timeout time.Duration) (*hickorydirectory.Batch, error) {
+		timeouts = append(timeouts, timeout)
+		return nil, errFailed
+	}})
+	for range 5 {
+		batch, err := f.callStore(t.Context())
+		f.recordOutcome(batch, err)
+	}
+	is.Equal(timeouts, []time.Duration{pageTimeout, pageTimeout, pageTimeout, slowPageTimeout, pageTimeout})
+}
--- a/io/hickoryfabric/translation.go
+++ b/io/hickoryfabric/translation.go
@@ -29,8 +29,8 @@
 
 // Store holds the functions that read the state that the platform publishes.
 type Store struct {
-	// List reads the whole state.
-	List func(context.Context) (*hickorydirectory.Batch, error)
+	// List reads the whole state. It fails when a page takes longer than pageTimeout.
+	List func(ctx context.Context, pageTimeout time.Duration) (*hickorydirectory.Batch, error)
 	// Watch returns the changes after a revision. Without a change it returns an empty
 	// batch after the wait.
 	Watch func(ctx context.Context, after hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error)
