--- a/core/hickorydirectory/source.go
+++ b/core/hickorydirectory/source.go
@@ -54,6 +54,8 @@
 	// known through the parent and by reading the store; 0 for never.
 	followedUntil hickorymodel.Instant
 	readUntil     hickorymodel.Instant
+	// firstReadUntil is the first value of readUntil; 0 before.
+	firstReadUntil hickorymodel.Instant
 	// storeLost is true from a failed call to the store until the next answer.
 	storeLost bool
 	stopping  bool
@@ -112,6 +114,9 @@
 // the store.
 func (s *Source) RecordKnown(until hickorymodel.Instant) {
 	s.readUntil = max(s.readUntil, until)
+	if s.firstReadUntil == 0 {
+		s.firstReadUntil = until
+	}
 }
 
 // RecordStoreFailure records that a call to the store has failed.
@@ -120,13 +125,15 @@
 }
 
 // Reading reports whether the balancer is to read the store itself. StateComplete says
-// whether it has a first state.
+// whether it has a first state. If that came from another balancer, it may be old, and
+// the store is read until the balancer that this one follows has answered.
 func (s *Source) Reading(now hickorymodel.Instant, stateComplete bool) bool {
 	if !stateComplete {
 		return len(s.peers.seeds) == 0 || now.Sub(s.startedAt) >= FirstReadDelay
 	}
 	s.chooseParent(now)
-	return s.parent == "" || now.Sub(max(s.followedUntil, s.startedAt)) > followLimit
+	knownUntil := max(s.followedUntil, s.firstReadUntil)
+	return s.parent == "" || knownUntil == 0 || now.Sub(knownUntil) > followLimit
 }
 
 // Age returns the age of the balancer's knowledge, and whether that is current, so that
--- a/core/hickorydirectory/source_test.go
+++ b/core/hickorydirectory/source_test.go
@@ -297,11 +297,18 @@
 // sends it the state, and against one that waits for others in vain.
 func TestFirstState(t *testing.T) {
 	is := is.New(t)
+	begun := hickorymodel.Instant(time.Millisecond) // clocks start with the process
 	random := rand.New(rand.NewPCG(1, 2))
 	alone := hickorydirectory.NewPeers("10.0.0.1:1", "a", []hickoryid.Endpoint{"10.0.0.1:1"}, random)
-	is.True(hickorydirectory.NewSource(start, "10.0.0.1:1", "a", alone).Reading(start, false))
+	is.True(hickorydirectory.NewSource(begun, "10.0.0.1:1", "a", alone).Reading(begun, false))
 	peers := hickorydirectory.NewPeers("10.0.0.1:1", "a", []hickoryid.Endpoint{"10.0.0.2:1"}, random)
-	source := hickorydirectory.NewSource(start, "10.0.0.1:1", "a", peers)
-	is.True(!source.Reading(start, false))
-	is.True(source.Reading(start.Add(hickorydirectory.FirstReadDelay), false))
+	source := hickorydirectory.NewSource(begun, "10.0.0.1:1", "a", peers)
+	is.True(!source.Reading(begun, false))
+	is.True(source.Reading(begun.Add(hickorydirectory.FirstReadDelay), false))
+	peers.AddMembers(begun, []hickorymessage.Member{{Endpoint: "10.0.0.2:1", Zone: "a"}, {Endpoint: "10.0.0.3:1", Zone: "a"}, {Endpoint: "10.0.0.4:1", Zone: "a"}})
+	is.True(source.Reading(begun, true)) // the state of another balancer may be old
+	peer, due := source.Next(begun)
+	is.True(due)
+	source.RecordAnswer(begun, peer, true, 0)
+	is.True(!source.Reading(begun, true))
 }
--- a/io/hickoryfabric/agent.go
+++ b/io/hickoryfabric/agent.go
@@ -40,10 +40,12 @@
 	group    *hickoryduty.Group
 
 	// draining is set once by Drain. The decide duty sets refusing once new flows are
-	// refused, and updates busyFlows, the number of flows with an unanswered request.
-	draining  atomic.Bool
-	refusing  atomic.Bool
-	busyFlows atomic.Int64
+	// refused, and updates busyFlows, the number of flows with an unanswered request,
+	// and answeredAt, the hickorymodel.Instant at which the upstream last sent data.
+	draining   atomic.Bool
+	refusing   atomic.Bool
+	busyFlows  atomic.Int64
+	answeredAt atomic.Int64
 }
 
 // agentRings are the bounded queues between the duties of an agent.
@@ -114,6 +116,7 @@
 		draining:         &a.draining,
 		refusing:         &a.refusing,
 		busyFlows:        &a.busyFlows,
+		answeredAt:       &a.answeredAt,
 		flows:            a.scope.Gauge("flows"),
 		answerTime:       a.scope.Tagged(map[string]string{"service": string(a.settings.Service)}).Histogram("answer_time", hickorymetric.OpeningTimeBuckets),
 	}
--- a/io/hickoryfabric/agent_decider.go
+++ b/io/hickoryfabric/agent_decider.go
@@ -31,7 +31,9 @@
 	draining  *atomic.Bool
 	refusing  *atomic.Bool
 	busyFlows *atomic.Int64
-	flows     tally.Gauge
+	// answeredAt is the hickorymodel.Instant at which the upstream last sent data.
+	answeredAt *atomic.Int64
+	flows      tally.Gauge
 	// answerTime counts the times from a request to the first bytes of its answer.
 	answerTime tally.Histogram
 	frame      decodedFrame
@@ -112,7 +114,11 @@
 		d.recorder.reject(frame.Peer, err)
 		return
 	}
-	d.perform(ctx, d.steering.HandleUpstream(d.clock.Now(), &packet))
+	now := d.clock.Now()
+	if packet.Data > 0 && !packet.Returned {
+		d.answeredAt.Store(int64(now))
+	}
+	d.perform(ctx, d.steering.HandleUpstream(now, &packet))
 }
 
 // perform sends the datagrams of the actions.
--- a/io/hickoryfabric/drain.go
+++ b/io/hickoryfabric/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"hickoryworks/core/hickorymodel"
 )
 
 const (
@@ -16,6 +18,9 @@
 	// quietPeriod is how long no packet of a caller must have arrived before a
 	// balancer may stop.
 	quietPeriod = 400 * time.Millisecond
+	// answerQuietPeriod is how long the upstream must have sent no data before its agent
+	// may stop. An answer of many packets is sent in windows, one round trip apart.
+	answerQuietPeriod = 60 * time.Millisecond
 )
 
 // Drain makes the readiness check fail, so that the fabric sends packets to other
@@ -45,8 +50,8 @@
 	}
 }
 
-// Drain refuses new flows and waits until all requests are answered or the drain
-// timeout of the settings is over. It does not wait for flows to end, since the
+// Drain refuses new flows and waits until all requests are answered, and the answers
+// sent, or the drain timeout of the settings is over. It does not wait for flows to end, since the
 // upstream holds them beyond the end of the agent.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.draining.Store(true)
@@ -55,7 +60,7 @@
 		if err := sleep(ctx, drainInterval); err != nil {
 			return errors.Wrapf(err, "%d requests are unanswered", a.busyFlows.Load())
 		}
-		if a.refusing.Load() && a.busyFlows.Load() == 0 {
+		if a.drained(a.clock.Now()) {
 			return nil
 		}
 		if time.Since(begun) >= a.settings.DrainTimeout.Value() {
@@ -63,3 +68,10 @@
 		}
 	}
 }
+
+// drained reports whether new flows are refused, all requests are answered and the
+// upstream sends no more data.
+func (a *Agent) drained(now hickorymodel.Instant) bool {
+	answeredAt := hickorymodel.Instant(a.answeredAt.Load())
+	return a.refusing.Load() && a.busyFlows.Load() == 0 && now.Sub(answeredAt) >= answerQuietPeriod
+}
