--- a/core/hickorydirectory/source.go
+++ b/core/hickorydirectory/source.go
@@ -18,7 +18,7 @@
 	followLimit = 2500 * time.Millisecond
 	// maxFollowers bounds the balancers that follow one other, so that its calls do
 	// not grow with the fleet.
-	maxFollowers = 10
+	maxFollowers = 8
 	// rejectTime is how long a balancer is not followed after it has answered that its
 	// own knowledge is not current.
 	rejectTime = time.Second
--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -242,15 +242,17 @@
 }
 
 // detectSilentAgents marks agents as silent that have left frames unanswered for
-// longer than silenceLimit.
+// longer than silenceLimit, and removes agents from searches that have ended.
 func (b *Balancer) detectSilentAgents(now hickorymodel.Instant) {
 	agentEnded := false
 	for _, p := range b.peers {
+		wasEnded := p.ended
+		p.ended = p.agentEnded(now)
+		agentEnded = agentEnded || (p.ended && !wasEnded)
 		if p.silent || p.awaitingAnswerSince == 0 || now.Sub(p.awaitingAnswerSince) <= silenceLimit {
 			continue
 		}
 		p.silent = true
-		agentEnded = agentEnded || p.agentEnded()
 		b.recordDecision(&Decision{Step: StepAgentSilent, Peer: p.endpoint, Upstream: p.upstream.ID})
 	}
 	if agentEnded {
--- a/core/hickorysteering/data.go
+++ b/core/hickorysteering/data.go
@@ -78,7 +78,7 @@
 	route := b.view.Routes[key.Destination]
 	for endpoint, p := range b.peers {
 		mayOwn := p.mayHoldFlows(now, key.Destination) || serves(route, p)
-		if endpoint == except || !mayOwn || p.agentEnded() {
+		if endpoint == except || !mayOwn || p.agentEnded(now) {
 			continue
 		}
 		if p.listed && p.upstream.Zone == b.zone {
--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -12,6 +12,9 @@
 	// silenceLimit is how long an agent may leave frames unanswered, without
 	// sending any other, before it gets no new flows: two reports and some delay.
 	silenceLimit = 1200 * time.Millisecond
+	// removedSilenceLimit is how long the agent of an upstream without an entry may
+	// leave frames unanswered before it counts as ended: some round trips.
+	removedSilenceLimit = 300 * time.Millisecond
 	// reportLife is how long a report is valid: two intervals of reports to a
 	// balancer that sends no new flows, and some delay.
 	reportLife = 10 * time.Second
@@ -51,6 +54,8 @@
 	awaitingAnswerSince hickorymodel.Instant
 	// silent is true once awaitingAnswerSince is more than silenceLimit ago.
 	silent bool
+	// ended is what agentEnded last reported in a tick.
+	ended bool
 	// firstPacketUnansweredAt is when a first packet was last sent to another agent
 	// because this one's upstream had not answered it.
 	firstPacketUnansweredAt hickorymodel.Instant
@@ -103,11 +108,15 @@
 }
 
 // agentEnded reports whether an upstream and its agent have ended: the upstream has
-// no entry any more and the agent, which ends after it, is silent. Silence alone
-// proves nothing, since an agent may be paused beside an upstream that serves its
-// flows, also beside one that is leaving.
-func (p *peer) agentEnded() bool {
-	return p.silent && p.upstream.Removed
+// no entry any more and the agent, which ends after it, has said that it stops or does
+// not answer. Silence alone proves nothing, since an agent may be paused beside an
+// upstream that serves its flows, also beside one that is leaving.
+func (p *peer) agentEnded(now hickorymodel.Instant) bool {
+	if !p.upstream.Removed {
+		return false
+	}
+	unanswered := p.awaitingAnswerSince != 0 && now.Sub(p.awaitingAnswerSince) > removedSilenceLimit
+	return p.silent || unanswered || p.state == StateStopping
 }
 
 // failing reports whether the agent's last report says that the upstream is
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -115,7 +115,7 @@
 // searches.
 func (b *Balancer) dropEndedAgents(now hickorymodel.Instant) {
 	for _, s := range b.searches {
-		s.awaiting = slices.DeleteFunc(s.awaiting, func(endpoint hickorymodel.Endpoint) bool { return b.peer(endpoint).agentEnded() })
+		s.awaiting = slices.DeleteFunc(s.awaiting, func(endpoint hickorymodel.Endpoint) bool { return b.peer(endpoint).agentEnded(now) })
 		b.checkExhausted(now, s)
 	}
 }
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -455,6 +455,40 @@
 	}
 }
 
+// TestSearchDuringRelease guards against searches that wait for each agent that ends
+// with its upstream, one after the other during a release: each search took 1.2 s
+// then, the time after which a silent agent is noticed.
+func TestSearchDuringRelease(t *testing.T) {
+	cases := []struct {
+		name  string
+		stops bool
+		limit time.Duration
+	}{
+		{"the agent says that it stops", true, 50 * time.Millisecond},
+		{"the agent ends without a word", false, 400 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, "a", "b")
+			begun := f.now
+			f.balancer.Handle(f.now, data())
+			f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
+			if c.stops {
+				f.report(agent(1), hickorysteering.StateStopping)
+			}
+			u := &f.view.Upstreams[1]
+			u.Leaving, u.Removed, u.Accepting = true, true, false
+			sent := resets(f.balancer.SetView(f.now, f.view))
+			for sent == 0 && f.now.Sub(begun) < c.limit {
+				f.now = f.now.Add(10 * time.Millisecond)
+				f.confirmed = f.now
+				sent += resets(f.balancer.Tick(f.now))
+			}
+			f.is.Equal(sent, 1)
+		})
+	}
+}
+
 // TestStragglersAreAskedAgain guards against searches that wait for the caller's next
 // packet because one of many frames was lost: with a hundred agents that happened to
 // one in ten, and the caller of a lost flow waited half a second longer.
--- a/core/hickorysteering/unasked_agents.go
+++ b/core/hickorysteering/unasked_agents.go
@@ -53,7 +53,7 @@
 	routeStable := b.routeStable(now, s.packet.Flow.Destination)
 	excluded := true
 	for _, p := range b.peers {
-		if !p.listed || p.agentEnded() || slices.Contains(s.included, p.endpoint) {
+		if !p.listed || p.agentEnded(now) || slices.Contains(s.included, p.endpoint) {
 			continue
 		}
 		if routeStable && p.reportedAt != 0 && (p.silent || now.Sub(p.reportedAt) <= reportLife) {
