Close what was opened when a daemon's socket is taken; test following end to end

The choice of the reader had a test in core only.

Change: both constructors close what they have opened and return nil. The stand-in of the store answers watches.

Ruled out: returning the partly opened value for the caller to close; no caller did.

--- a/io/hickoryfabric/agent.go
+++ b/io/hickoryfabric/agent.go
@@ -71,7 +71,11 @@
 			out:           hickoryring.NewFrameRing(sendCapacity, hickoryring.DropNewest),
 		},
 	}
-	return a, a.open()
+	if err := a.open(); err != nil {
+		_ = a.Close() // the error of opening is the cause
+		return nil, err
+	}
+	return a, nil
 }
 
 func (a *Agent) open() error {
@@ -146,15 +150,16 @@
 	return a.upstreamSocket.Endpoint()
 }
 
-// Close ends the duties, waits for them and closes the sockets.
+// Close ends the duties, waits for them and closes the sockets that are open.
 func (a *Agent) Close() error {
 	errs := closeErrors{}
 	errs.add(a.group.Close())
 	if a.exporter != nil {
 		errs.add(a.exporter.Close())
 	}
-	errs.add(a.readyServer.Close())
-	errs.add(a.dataSocket.Close())
-	errs.add(a.upstreamSocket.Close())
+	if a.readyServer != nil {
+		errs.add(a.readyServer.Close())
+	}
+	errs.addSockets(a.dataSocket, a.upstreamSocket)
 	return errs.first
 }
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -117,7 +117,11 @@
 	for _, option := range options {
 		option(b)
 	}
-	return b, b.open()
+	if err := b.open(); err != nil {
+		_ = b.Close() // the error of opening is the cause
+		return nil, err
+	}
+	return b, nil
 }
 
 func (b *Balancer) open() error {
@@ -231,7 +235,7 @@
 	return b.agentSocket.Endpoint()
 }
 
-// Close ends the duties, waits for them and closes the sockets.
+// Close ends the duties, waits for them and closes the sockets that are open.
 func (b *Balancer) Close() error {
 	errs := closeErrors{}
 	errs.add(b.group.Close())
@@ -240,9 +244,12 @@
 	if b.exporter != nil {
 		errs.add(b.exporter.Close())
 	}
-	errs.add(b.controlServer.Close())
-	errs.add(b.readyServer.Close())
-	errs.add(b.callerSocket.Close())
-	errs.add(b.agentSocket.Close())
+	if b.controlServer != nil {
+		errs.add(b.controlServer.Close())
+	}
+	if b.readyServer != nil {
+		errs.add(b.readyServer.Close())
+	}
+	errs.addSockets(b.callerSocket, b.agentSocket)
 	return errs.first
 }
--- a/io/hickoryfabric/fixture_test.go
+++ b/io/hickoryfabric/fixture_test.go
@@ -161,22 +161,27 @@
 
 // storeStandin is a stand-in (test double) of the store.
 type storeStandin struct {
-	mutex   sync.Mutex
-	batches []*hickorydirectory.Batch
+	mutex sync.Mutex
+	// listing is the answer to a listing, change the only change after it; nil for none.
+	listing *hickorydirectory.Batch
+	change  *hickorydirectory.Batch
 	// down makes all calls fail.
 	down bool
-	wake chan struct{}
+	// watches is the number of pending watches.
+	watches int
+	// changed is closed when change is set.
+	changed chan struct{}
 }
 
 var errStoreDown = errors.New("store is down")
 
 func newStoreStandin() *storeStandin {
-	return &storeStandin{wake: make(chan struct{})}
+	return &storeStandin{changed: make(chan struct{})}
 }
 
 // publish lists one route and one upstream.
 func (s *storeStandin) publish(upstream string) {
-	s.batches = []*hickorydirectory.Batch{{Through: 1, Complete: true, Changes: []hickorydirectory.Change{
+	s.listing = &hickorydirectory.Batch{Through: 1, Complete: true, Changes: []hickorydirectory.Change{
 		{Table: &hickorymessage.RouteTable{
 			Version: 1, IdleTimeout: "15s",
 			Routes:   []hickorymessage.Route{{Name: "live", Address: hickoryid.Endpoint(serviceAddress.String()), Targets: []hickorymessage.RouteTarget{{Service: "clubroom", Weight: 1}}}},
@@ -185,11 +190,52 @@
 		{Upstream: &hickorymessage.ListedUpstream{
 			ID: "u-1", Revision: 1, Service: "clubroom", Zone: "a", Endpoint: hickoryid.Endpoint(upstream), Slots: 2, ColdTime: "0s",
 		}},
-	}}}
+	}}
 }
 
-// functions returns the functions that a balancer calls. A watch waits until the
-// context ends.
+// publishChange publishes a change to those who watch.
+func (s *storeStandin) publishChange(change hickorydirectory.Change) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.change = &hickorydirectory.Batch{Through: 2, Changes: []hickorydirectory.Change{change}}
+	close(s.changed)
+}
+
+// watch returns the change after a revision, or an empty batch after the wait.
+func (s *storeStandin) watch(ctx context.Context, after hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error) {
+	s.count(1)
+	defer s.count(-1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-timer.C:
+		return &hickorydirectory.Batch{Through: after}, nil
+	case <-s.changed:
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if after < s.change.Through {
+		return s.change, nil
+	}
+	return &hickorydirectory.Batch{Through: after}, nil
+}
+
+func (s *storeStandin) count(watches int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.watches += watches
+}
+
+// pendingWatches returns the number of pending watches.
+func (s *storeStandin) pendingWatches() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.watches
+}
+
+// functions returns the functions that a balancer calls.
 func (s *storeStandin) functions() hickoryfabric.Store {
 	return hickoryfabric.Store{
 		List: func(context.Context, time.Duration) (*hickorydirectory.Batch, error) {
@@ -198,12 +244,9 @@
 			if s.down {
 				return nil, errStoreDown
 			}
-			return s.batches[0], nil
-		},
-		Watch: func(ctx context.Context, _ hickorydirectory.Revision, _ time.Duration) (*hickorydirectory.Batch, error) {
-			<-ctx.Done()
-			return nil, ctx.Err()
+			return s.listing, nil
 		},
+		Watch:       s.watch,
 		HistoryGone: func(error) bool { return false },
 		Close:       func() error { return nil },
 	}
--- a/io/hickoryfabric/flow_test.go
+++ b/io/hickoryfabric/flow_test.go
@@ -3,6 +3,12 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
+
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorysteering"
+	"hickoryworks/platform"
+	"hickoryworks/schema/hickorymessage"
 )
 
 // openFlow sends the first packet through a balancer and the upstream's answer back.
@@ -74,6 +80,42 @@
 	f.openFlow(otherBalancerIP)
 }
 
+// receivesReset reports whether a reset reaches the caller within a short time.
+func (f *fabricFixture) receivesReset() bool {
+	buffer := make([]byte, 2048)
+	f.is.NoErr(f.caller.SetReadDeadline(time.Now().Add(20 * time.Millisecond)))
+	n, err := f.caller.Read(buffer)
+	if err != nil {
+		return false
+	}
+	var decoded hickorysteering.Packet
+	f.is.NoErr(platform.DecodePacket(buffer[:n], &decoded))
+	return decoded.Reset
+}
+
+// TestBalancerFollowsAnother guards against balancers that all watch the store, and
+// against one that does not and misses a change.
+func TestBalancerFollowsAnother(t *testing.T) {
+	f := newFabricFixture(t)
+	f.startBalancer(balancerIP, f.port+2, f.store.functions(), endpoint(balancerIP, f.port+2))
+	f.startBalancer(otherBalancerIP, f.port+2, f.store.functions(), endpoint(balancerIP, f.port+2))
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for alone := 0; alone < 100; alone++ { // until one has watched alone for 100 ms
+		<-ticker.C
+		if f.store.pendingWatches() > 1 {
+			alone = 0
+		}
+	}
+	f.store.publishChange(hickorydirectory.Change{Table: &hickorymessage.RouteTable{Version: 2, IdleTimeout: "15s", Services: []hickorymessage.RoutedService{}, Routes: []hickorymessage.Route{}}})
+	for _, ip := range []string{balancerIP, otherBalancerIP} {
+		for refused := false; !refused; { // by the version without a route
+			f.send(ip, packet(flagFirst, 100, 0))
+			refused = f.receivesReset()
+		}
+	}
+}
+
 // TestDrainLeavesRotationFirst guards against packets that are lost while a balancer
 // is being stopped (guarantee P9): it must forward packets as long as the fabric
 // sends them to it, also after its readiness check fails.
--- a/io/hickoryfabric/sockets_metrics.go
+++ b/io/hickoryfabric/sockets_metrics.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// addSockets closes sockets; nil stands for one that was not opened.
+func (c *closeErrors) addSockets(sockets ...*hickorysocket.Socket) {
+	for _, socket := range sockets {
+		if socket != nil {
+			c.add(socket.Close())
+		}
+	}
+}
+
 // seedEndpoints parses the seeds of the settings.
 func seedEndpoints(seeds []hickoryid.Endpoint) ([]hickorymodel.Endpoint, error) {
 	parsed := make([]hickorymodel.Endpoint, 0, len(seeds))
