Count only answers of the store for the age of a reader's knowledge

Three of seven balancers were cut off from the store without an error. The reader noticed after 1.8 s; the next one to read was cut off too and said that it knew everything, because its watch had been pending for 0.3 s without an answer, so that the others waited for its timeout as well.

Change: the age that a balancer tells others counts from answers of the store alone; a pending watch proves nothing to others. The reply says how long the call was held, and the age counts from the sending of the call, so that a late reply is not taken for a fresh one. The reader's watch is 0.5 s and its pause 0.5 s (0.7 and 0.8), which keeps the usual age below the limit.

Ruled out: a shorter timeout of the watch; each balancer that is cut off would still cost one.

--- a/core/hickorydirectory/source.go
+++ b/core/hickorydirectory/source.go
@@ -12,9 +12,9 @@
 
 const (
 	// followLimit is the largest age of the knowledge that a balancer gets through
-	// others before it reads the store itself. A reader's knowledge is up to the pause
-	// between two watches and two answers of a slow store old, and each balancer on
-	// the way adds a call.
+	// others before it reads the store itself. The reader's knowledge is up to a watch,
+	// the pause between two watches and two answers of a slow store old, and each
+	// balancer on the way adds a call.
 	followLimit = 2500 * time.Millisecond
 	// maxFollowers bounds the balancers that follow one other, so that its calls do
 	// not grow with the fleet.
@@ -85,9 +85,9 @@
 	return s.parent, true
 }
 
-// RecordAnswer records the answer of the parent: its knowledge has an age, and it is
-// to be followed further if that is current.
-func (s *Source) RecordAnswer(now hickorymodel.Instant, peer hickoryid.Endpoint, current bool, age time.Duration) {
+// RecordAnswer records the answer of the parent, which knew all changes published up
+// to knownUntil. The parent is followed further if its knowledge is current.
+func (s *Source) RecordAnswer(now hickorymodel.Instant, peer hickoryid.Endpoint, current bool, knownUntil hickorymodel.Instant) {
 	s.calling = false
 	s.peers.RecordContact(now, peer, "")
 	if !current {
@@ -95,7 +95,7 @@
 		s.parent = ""
 		return
 	}
-	s.followedUntil = max(s.followedUntil, now.Add(-age))
+	s.followedUntil = max(s.followedUntil, knownUntil)
 }
 
 // RecordFailure records that the parent has not answered.
@@ -105,14 +105,11 @@
 	s.parent = ""
 }
 
-// RecordRead records that the store has answered.
-func (s *Source) RecordRead() {
+// RecordRead records an answer of the store that contains all changes published up to
+// a time. A call that the store has not answered yet proves nothing: the store may not
+// have received it.
+func (s *Source) RecordRead(until hickorymodel.Instant) {
 	s.storeLost = false
-}
-
-// RecordKnown records a time up to which all published changes are known by reading
-// the store.
-func (s *Source) RecordKnown(until hickorymodel.Instant) {
 	s.readUntil = max(s.readUntil, until)
 	if s.firstReadUntil == 0 {
 		s.firstReadUntil = until
--- a/core/hickorydirectory/source_test.go
+++ b/core/hickorydirectory/source_test.go
@@ -24,6 +24,9 @@
 	// not answer.
 	silent    map[hickoryid.Endpoint]bool
 	storeLost map[hickoryid.Endpoint]bool
+	// unanswered are the balancers whose calls the store does not answer, without an
+	// error.
+	unanswered map[hickoryid.Endpoint]bool
 	// cut reports whether the path between two balancers is cut.
 	cut func(from, to hickoryid.Endpoint) bool
 	// reads counts the calls of the store in the last step.
@@ -35,7 +38,7 @@
 func newSourceFleet(zones, perZone int) *sourceFleet {
 	f := &sourceFleet{
 		now: start, sources: map[hickoryid.Endpoint]*hickorydirectory.Source{}, peers: map[hickoryid.Endpoint]*hickorydirectory.Peers{},
-		silent: map[hickoryid.Endpoint]bool{}, storeLost: map[hickoryid.Endpoint]bool{},
+		silent: map[hickoryid.Endpoint]bool{}, storeLost: map[hickoryid.Endpoint]bool{}, unanswered: map[hickoryid.Endpoint]bool{},
 		cut: func(hickoryid.Endpoint, hickoryid.Endpoint) bool { return false },
 	}
 	members := []hickorymessage.Member{}
@@ -68,11 +71,11 @@
 		}
 		if source.Reading(f.now, true) {
 			f.reads++
-			if f.storeLost[self] {
+			switch {
+			case f.storeLost[self]:
 				source.RecordStoreFailure()
-			} else {
-				source.RecordRead()
-				source.RecordKnown(f.now)
+			case !f.unanswered[self]:
+				source.RecordRead(f.now)
 			}
 		}
 		parent, due := source.Next(f.now)
@@ -84,7 +87,7 @@
 			continue
 		}
 		age, current := f.sources[parent].Age(f.now)
-		source.RecordAnswer(f.now, parent, current, age)
+		source.RecordAnswer(f.now, parent, current, f.now.Add(-age))
 	}
 }
 
@@ -175,6 +178,25 @@
 	is.True(len(f.readers()) <= 2)
 }
 
+// TestSilentStore guards against balancers that follow others which do not know that
+// the store no longer answers them: on a day with half of the balancers cut off from
+// the store a leaving upstream got new flows for more than 3 s.
+func TestSilentStore(t *testing.T) {
+	is := is.New(t)
+	f := newSourceFleet(3, 4)
+	f.run()
+	for i, self := range f.order {
+		f.unanswered[self] = i%2 == 0 || self == f.readers()[0]
+	}
+	for range 40 {
+		f.step(250 * time.Millisecond)
+		for _, self := range f.order {
+			age, _ := f.sources[self].Age(f.now)
+			is.True(f.unanswered[self] || age <= 2750*time.Millisecond)
+		}
+	}
+}
+
 // TestKnowledgeGetsOld guards against a balancer that trusts another one whose own
 // knowledge is old.
 func TestKnowledgeGetsOld(t *testing.T) {
@@ -186,7 +208,7 @@
 	source := hickorydirectory.NewSource(start, "10.0.0.1:1", "a", peers)
 	peer, due := source.Next(start)
 	is.True(due)
-	source.RecordAnswer(start, peer, true, 2*time.Second)
+	source.RecordAnswer(start, peer, true, start.Add(-2*time.Second))
 	is.True(!source.Reading(start.Add(300*time.Millisecond), true))
 	later := start.Add(2600 * time.Millisecond)
 	is.True(source.Reading(later, true))
@@ -309,6 +331,6 @@
 	is.True(source.Reading(begun, true)) // the state of another balancer may be old
 	peer, due := source.Next(begun)
 	is.True(due)
-	source.RecordAnswer(begun, peer, true, 0)
+	source.RecordAnswer(begun, peer, true, begun)
 	is.True(!source.Reading(begun, true))
 }
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -219,7 +219,6 @@
 		changesCalls:   b.rings.changesCalls,
 		changesFetches: b.rings.changesFetches,
 		setReading:     follower.setReading,
-		readUntil:      follower.confirmedUntil,
 		recordApplied:  follower.recordApplied,
 		rejectedValues: map[hickorydirectory.RejectedValue]bool{},
 	}
--- a/io/hickoryfabric/changes_waiters.go
+++ b/io/hickoryfabric/changes_waiters.go
@@ -15,6 +15,7 @@
 // changesWaiter is a call for changes that is held until there is one.
 type changesWaiter struct {
 	call  hickoryring.ChangesCall
+	since hickorymodel.Instant
 	until hickorymodel.Instant
 }
 
@@ -29,7 +30,7 @@
 
 // add answers a call at once if there is something to answer, and holds it otherwise.
 func (w *changesWaiters) add(now hickorymodel.Instant, call hickoryring.ChangesCall) {
-	waiter := changesWaiter{call: call, until: now.Add(time.Duration(call.Request.WaitMillis) * time.Millisecond)}
+	waiter := changesWaiter{call: call, since: now, until: now.Add(time.Duration(call.Request.WaitMillis) * time.Millisecond)}
 	if len(w.waiting) >= maxChangesWaiters || w.due(now, &waiter) {
 		w.answer(now, &waiter)
 		return
@@ -61,8 +62,9 @@
 	request := waiter.call.Request
 	age, current := w.source.Age(now)
 	waiter.call.Reply <- hickorymessage.ChangesReply{
-		Current:   current,
-		AgeMillis: int(max(age, 0).Milliseconds()),
-		State:     w.directory.ExportChanges(now, hickorydirectory.Revision(request.Revision), request.Version),
+		Current:    current,
+		AgeMillis:  int(max(age, 0).Milliseconds()),
+		HeldMillis: int(now.Sub(waiter.since).Milliseconds()),
+		State:      w.directory.ExportChanges(now, hickorydirectory.Revision(request.Revision), request.Version),
 	}
 }
--- a/io/hickoryfabric/directory_updater.go
+++ b/io/hickoryfabric/directory_updater.go
@@ -47,9 +47,6 @@
 	// setReading is called with the revision up to which all changes are known, and
 	// with whether the storeFollower is to watch the store.
 	setReading func(reading bool, through hickorydirectory.Revision)
-	// readUntil returns the time up to which the storeFollower knows that it has read
-	// all published changes.
-	readUntil func(now hickorymodel.Instant) hickorymodel.Instant
 	// recordApplied is called after an answer of the store that changed nothing, with
 	// the time at which the call was sent. After a change, the view carries that time
 	// as Confirmed.
@@ -62,6 +59,8 @@
 	storeLost bool
 	// reading is true while the storeFollower watches the store.
 	reading bool
+	// changesSentAt is when the last call for changes was sent.
+	changesSentAt hickorymodel.Instant
 	// rejectedValues are the rejected values that have been logged. It has at most
 	// maxRejectedValues entries and is cleared when it is full.
 	rejectedValues map[hickorydirectory.RejectedValue]bool
@@ -97,7 +96,6 @@
 func (u *directoryUpdater) follow() {
 	now := u.clock.Now()
 	stateComplete := u.directory.StateComplete()
-	u.source.RecordKnown(u.readUntil(now))
 	reading := u.source.Reading(now, stateComplete)
 	if reading != u.reading {
 		u.reading = reading
@@ -109,6 +107,7 @@
 		return
 	}
 	if peer, due := u.source.Next(now); due {
+		u.changesSentAt = now
 		u.changesFetches.Put(hickoryring.ChangesFetch{Peer: peer, Request: hickorymessage.ChangesRequest{
 			Sender: u.self, Zone: u.zone, Revision: int(u.directory.Through()), Version: u.directory.Version(),
 			WaitMillis: int(changesWait.Milliseconds()),
@@ -128,7 +127,10 @@
 		if call.Answer.State != nil && u.directory.Merge(now, call.Answer.State) {
 			u.publish(string(call.Peer))
 		}
-		u.source.RecordAnswer(now, call.Peer, call.Answer.Current, time.Duration(call.Answer.AgeMillis)*time.Millisecond)
+		// The answer was sent after the call had been held; when it is late, it is older
+		// than it seems by its arrival.
+		answeredAt := u.changesSentAt.Add(time.Duration(call.Answer.HeldMillis) * time.Millisecond)
+		u.source.RecordAnswer(now, call.Peer, call.Answer.Current, answeredAt.Add(-time.Duration(call.Answer.AgeMillis)*time.Millisecond))
 	default:
 		u.source.RecordFailure(now, call.Peer)
 	}
@@ -181,10 +183,9 @@
 	}
 	u.logRejectedValues(answer.Batch.RejectedValues)
 	u.confirmedUntil = answer.SentAt
-	u.source.RecordRead()
 	// The answer itself may have taken maxAnswerTime; before that, the store has held
 	// the call until there was a change.
-	u.source.RecordKnown(max(answer.SentAt, u.clock.Now().Add(-maxAnswerTime)))
+	u.source.RecordRead(max(answer.SentAt, u.clock.Now().Add(-maxAnswerTime)))
 	if u.directory.Apply(u.clock.Now(), answer.Batch) {
 		u.publish("store")
 		return
--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -27,14 +27,14 @@
 	// error, this balancer and those that follow it miss changes for the sum of both
 	// at most, which must stay below the time within which a change has to take
 	// effect. Few balancers watch, so that the watch can be short.
-	watchWait  = 700 * time.Millisecond
+	watchWait  = 500 * time.Millisecond
 	watchSlack = 700 * time.Millisecond
 	// maxAnswerTime is the longest time that a healthy store takes to answer.
 	maxAnswerTime = 300 * time.Millisecond
 	// batchPause is the pause after an answer with changes, also of keys that
 	// hickoryworks does not use, so that one watch reads several changes: each call to
 	// the store is billed. It adds to the time until a change takes effect.
-	batchPause = 800 * time.Millisecond
+	batchPause = 500 * time.Millisecond
 	// minCallPause is the shortest pause after an answer when a confirmation is
 	// requested. It limits the rate of calls while open flows are lost.
 	minCallPause = 100 * time.Millisecond
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -9,14 +9,17 @@
 
 // ChangesReply answers a ChangesRequest.
 type ChangesReply struct {
-	// AgeMillis is how long ago, in milliseconds, the replying balancer knew all
-	// published changes.
+	// AgeMillis is how long before the reply, in milliseconds, the replying balancer
+	// knew all published changes.
 	AgeMillis int `json:"ageMillis" yaml:"ageMillis"`
 
 	// Current is false when the knowledge of the replying balancer is not current, or
 	// it is about to stop; the sender then asks another one.
 	Current bool `json:"current" yaml:"current"`
 
+	// HeldMillis is how long the replying balancer held the request, in milliseconds.
+	HeldMillis int `json:"heldMillis,omitempty,omitzero" yaml:"heldMillis,omitempty"`
+
 	// State corresponds to the JSON schema field "state".
 	State *DirectoryState `json:"state,omitempty,omitzero" yaml:"state,omitempty"`
 }
@@ -41,6 +44,12 @@
 	if 0 > plain.AgeMillis {
 		return fmt.Errorf("field %s: must be >= %v", "ageMillis", 0)
 	}
+	if v, ok := raw["heldMillis"]; !ok || v == nil {
+		plain.HeldMillis = 0
+	}
+	if 0 > plain.HeldMillis {
+		return fmt.Errorf("field %s: must be >= %v", "heldMillis", 0)
+	}
 	*j = ChangesReply(plain)
 	return nil
 }
