--- a/core/hickorydirectory/source_test.go
+++ b/core/hickorydirectory/source_test.go
@@ -59,10 +59,13 @@
 	return f
 }
 
-// step lets a time pass in which each balancer that is to read does so, and each other
-// one calls the balancer that it follows.
-func (f *sourceFleet) step(d time.Duration) {
-	f.now = f.now.Add(d)
+// stepTime is the time between two calls of a follower.
+const stepTime = 250 * time.Millisecond
+
+// step lets stepTime pass, in which each balancer that is to read does so, and each
+// other one calls the balancer that it follows.
+func (f *sourceFleet) step() {
+	f.now = f.now.Add(stepTime)
 	f.reads = 0
 	for _, self := range f.order {
 		source := f.sources[self]
@@ -91,10 +94,10 @@
 	}
 }
 
-// run runs steps of 250 ms, long enough for the fleet to settle.
+// run runs enough steps for the fleet to settle.
 func (f *sourceFleet) run() {
 	for range 20 {
-		f.step(250 * time.Millisecond)
+		f.step()
 	}
 }
 
@@ -157,7 +160,7 @@
 			c.fail(f, f.readers()[0])
 			reads := 0
 			for range 40 {
-				f.step(250 * time.Millisecond)
+				f.step()
 				reads += f.reads
 				is.True(f.oldest() <= 2750*time.Millisecond || f.storeLost[f.readers()[0]])
 			}
@@ -189,7 +192,7 @@
 		f.unanswered[self] = i%2 == 0 || self == f.readers()[0]
 	}
 	for range 40 {
-		f.step(250 * time.Millisecond)
+		f.step()
 		for _, self := range f.order {
 			age, _ := f.sources[self].Age(f.now)
 			is.True(f.unanswered[self] || age <= 2750*time.Millisecond)
@@ -226,7 +229,7 @@
 	reader.Stop()
 	_, current := reader.Age(f.now)
 	is.True(!current)
-	f.step(250 * time.Millisecond)
+	f.step()
 	is.Equal(len(f.readers()), 2)
 }
 
