Give up a call for changes whose outcome was lost

Cause: reading the diff: a balancer calls the one that it follows again only after the outcome of the last call. If that met a full ring, or its duty panicked, the balancer would have read the store itself for ever.

Change: a call without an outcome counts as failed after 2 s.

Ruled out: a ring that blocks; the duty that sends calls must not wait for the one that owns the directory.

Test: TestCallWithoutOutcome.

Conclusion: a lost outcome costs at most 2 s of following.

--- a/core/hickorydirectory/source.go
+++ b/core/hickorydirectory/source.go
@@ -26,6 +26,9 @@
 	// before it lists the store: some round trips. A listing takes a call for each
 	// page.
 	FirstReadDelay = 40 * time.Millisecond
+	// callLimit is the time after which a call without an outcome counts as failed. It
+	// is longer than any call takes; the outcome may have met a full ring.
+	callLimit = 2 * time.Second
 	// parentInterval is the time between two choices of the balancer to follow.
 	parentInterval = time.Second
 )
@@ -46,8 +49,9 @@
 	// parent is the balancer that this one follows; empty while there is none.
 	parent   hickoryid.Endpoint
 	chosenAt hickorymodel.Instant
-	// calling is true while a call to the parent is pending.
-	calling bool
+	// calling is true while a call to the parent is pending, which was due at calledAt.
+	calling  bool
+	calledAt hickorymodel.Instant
 	// rejectedUntil has the balancers whose knowledge was not current.
 	rejectedUntil map[hickoryid.Endpoint]hickorymodel.Instant
 	// followedUntil and readUntil are the times up to which all published changes are
@@ -74,7 +78,7 @@
 // Next returns the balancer to call for changes and true, unless a call is pending or
 // there is nobody to follow.
 func (s *Source) Next(now hickorymodel.Instant) (hickoryid.Endpoint, bool) {
-	if s.calling {
+	if s.calling && now.Sub(s.calledAt) < callLimit {
 		return "", false
 	}
 	s.chooseParent(now)
@@ -82,6 +86,7 @@
 		return "", false
 	}
 	s.calling = true
+	s.calledAt = now
 	return s.parent, true
 }
 
--- a/core/hickorydirectory/source_test.go
+++ b/core/hickorydirectory/source_test.go
@@ -219,6 +219,25 @@
 	is.True(!current) // the chain must not pass on what is too old
 }
 
+// TestCallWithoutOutcome guards against a balancer that reads the store for ever,
+// because the outcome of one call was lost.
+func TestCallWithoutOutcome(t *testing.T) {
+	is := is.New(t)
+	f := newSourceFleet(1, 2)
+	f.run()
+	for _, source := range f.sources {
+		if source.Reading(f.now, true) {
+			continue
+		}
+		_, due := source.Next(f.now)
+		is.True(due)
+		_, due = source.Next(f.now.Add(time.Second))
+		is.True(!due)
+		_, due = source.Next(f.now.Add(2 * time.Second))
+		is.True(due)
+	}
+}
+
 // TestStoppingIsNotFollowed guards against balancers that follow one which is about to
 // end, and miss changes until they notice its end.
 func TestStoppingIsNotFollowed(t *testing.T) {
