Review case 3: an odd entry with the address of a live host hides the host

Another writer's entry with a live host's address and a service that is not named takes the host out of its service; after a rolling restart its open flows are reset.

--- a/review/1/testdata/standin/cases.go
+++ b/review/1/testdata/standin/cases.go
@@ -206,19 +206,64 @@
 		}
 	}
 	if trouble {
-		for _, m := range append(c.list("side"), c.list("front")...) {
-			if err := c.restart(m, syscall.SIGTERM); err != nil {
-				return nil, err
-			}
-			if err := c.awaitReady(c.machines, 5*time.Second); err != nil {
-				return nil, err
-			}
+		if err := roll(c); err != nil {
+			return nil, err
 		}
 	}
 	time.Sleep(stableWindow)
 	return brokenFlows(c, flows, requestAll(flows, "third", requestGap)), nil
 }
 
+// roll stops and starts the agents and the balancers in turn.
+func roll(c *cluster) error {
+	for _, m := range append(c.list("side"), c.list("front")...) {
+		if err := c.restart(m, syscall.SIGTERM); err != nil {
+			return err
+		}
+		if err := c.awaitReady(c.machines, 5*time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// oddEntry: another writer leaves an entry that has the address of a live host and names
+// a service that no configuration knows. Then the agents and the balancers are stopped
+// and started in turn, while the callers pause.
+func oddEntry(c *cluster, trouble bool) ([]string, error) {
+	routes := c.routes(1)
+	c.configure(1, routes, clubroom)
+	if err := deploy(c, []string{zoneA, zoneA}, [][2]string{{zoneA, clubroom}, {zoneA, clubroom}, {zoneA, packetdesk}}); err != nil {
+		return nil, err
+	}
+	all := []address{}
+	for range 16 {
+		all = append(all, routes[0])
+	}
+	flows, err := openFlows(c, zoneA, all, requestGap)
+	if err != nil {
+		return nil, err
+	}
+	live := c.hosts[0]
+	if trouble {
+		entry := live.entry()
+		entry["service"] = "elsewhere"
+		c.store.put("servers/i-other-1", entry)
+		c.record.add("another writer leaves the entry i-other-1 with the address of %s and the service %q", live.name, "elsewhere")
+	}
+	if err := roll(c); err != nil {
+		return nil, err
+	}
+	time.Sleep(stableWindow)
+	breaks := brokenFlows(c, flows, requestAll(flows, "second", requestGap))
+	before := len(live.opened())
+	if _, err := openFlows(c, zoneA, all, requestGap); err != nil {
+		c.record.add("a new flow: %v", err)
+	}
+	c.record.add("of %d new flows %d reach host %s (not judged)", len(all), len(live.opened())-before, live.name)
+	return breaks, nil
+}
+
 // manyAddresses: callers hold flows to many routes of one service. The routes move to
 // another service; then one of the two balancers is restarted.
 func manyAddresses(c *cluster, trouble bool) ([]string, error) {
--- a/review/1/testdata/standin/main.go
+++ b/review/1/testdata/standin/main.go
@@ -27,6 +27,7 @@
 	"many-addresses": manyAddresses,
 	"clock-ahead":    clockAhead,
 	"unused-flows":   unusedFlows,
+	"odd-entry":      oddEntry,
 	"cold-host":      coldHost,
 }
 
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin ] || exit 2
-exec target/review-standin --case many-addresses --record review/3/record.txt
+exec target/review-standin --case odd-entry --record review/3/record.txt
