Let an agent deny a flow only if its cache has all flows of its upstream

Cause: hasAllFlows compared the published start of the upstream with the wall clock at the agent's own start. After a jump the comparison holds for an agent that was restarted after its upstream, so it denied flows that it had never seen. The same answer was wrong for half-closed flows (forgotten after 3 s), for flows left out of a full cache that had room again, after a refused copy of a first packet, for an idle timeout above 60 s, and within the time in which a packet may be searched for.

Change: the agent keeps the time since which its cache is complete and denies a flow only after the idle timeout and the life of a search. Flows stay until both sides have ended them. Neither the query nor the view carries the published start; the bytes stay in the layout as zero, so that agents of earlier builds answer "unknown" too.

Tests: TestClockIsNoProof and five cases of TestDenialNeedsAllFlows fail on; the sixth, the longer idle timeout, fails with its rule off.

--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -76,8 +76,6 @@
 	// An entry that may only have expired while the store was not available does not
 	// count as removed.
 	Removed bool
-	// StartedAt is when the upstream started, by the clock of its machine.
-	StartedAt hickorymodel.WallTime
 	// ColdUntil is when the cold start ends; 0 for a warm upstream.
 	ColdUntil hickorymodel.Instant
 	// RampTime and RampRate are the duration of the service's cold start and the
@@ -172,7 +170,6 @@
 		Accepting: record.accepting(now) && (zone == nil || !zone.mark.Excluded),
 		Leaving:   !record.accepting(now),
 		Removed:   !record.listedOrExpired(now),
-		StartedAt: hickorymodel.WallTime(record.listed.StartedAt),
 		ColdUntil: record.coldUntil,
 		RampTime:  service.RampTime.Value(),
 		RampRate:  service.RampRate,
--- a/core/hickorysteering/absence_test.go
+++ b/core/hickorysteering/absence_test.go
@@ -1,6 +1,7 @@
 package hickorysteering_test
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -111,6 +112,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newAbsenceFixture(t)
 			c.prepare(f.former)
+			f.exchange([]hickorysteering.Action{{Target: agent(8), Header: hickoryframe.Header{Kind: uint8(hickorysteering.KindHello)}}})
 			f.exchange(f.balancer.Handle(f.now, data()))
 			for range 100 {
 				f.now = f.now.Add(hickorysteering.SearchTickInterval)
@@ -150,3 +152,93 @@
 	f.is.True(f.now.Sub(begun) < time.Second)
 	f.is.Equal(len(view.Upstreams), 14000)
 }
+
+// TestDenialNeedsAllFlows guards against an agent that denies a flow which its upstream
+// holds, because it has not recorded the flow or has forgotten it.
+func TestDenialNeedsAllFlows(t *testing.T) {
+	const idle = 15 * time.Second
+	open := func(s *agentFixture) {
+		s.deliver(balancer)
+		s.answer(hickorysteering.Packet{Data: 5})
+	}
+	cases := []struct {
+		name    string
+		prepare func(s *agentFixture)
+		idle    time.Duration
+		denied  bool
+	}{
+		{"the agent has just started", func(*agentFixture) {}, idle, false},
+		{"the agent has run for the idle timeout only", func(s *agentFixture) { s.now = s.now.Add(idle + time.Second) }, idle, false},
+		{"the agent has run for longer", func(s *agentFixture) { s.now = s.now.Add(idle + 11*time.Second) }, idle, true},
+		{"the balancer does not know the idle timeout", func(s *agentFixture) { s.now = s.now.Add(time.Hour) }, 0, false},
+		{"the upstream has ended its half of the flow", func(s *agentFixture) {
+			open(s)
+			s.answer(hickorysteering.Packet{Finish: true})
+			s.now = s.now.Add(30 * time.Second)
+			s.agent.Tick(s.now)
+		}, idle, false},
+		{"the caller has ended its half of the flow", func(s *agentFixture) {
+			open(s)
+			last := data()
+			last.Data, last.Finish = 0, true
+			s.agent.HandleFrame(s.now, balancer, &hickoryframe.Header{Kind: uint8(hickorysteering.KindData)}, last)
+			s.now = s.now.Add(30 * time.Second)
+			s.agent.Tick(s.now)
+		}, idle, false},
+		{"the upstream has reset the flow", func(s *agentFixture) {
+			open(s)
+			s.answer(hickorysteering.Packet{Reset: true})
+			s.now = s.now.Add(30 * time.Second)
+			s.agent.Tick(s.now)
+		}, idle, true},
+		{"the upstream returned a copy of the first packet after its answer", func(s *agentFixture) {
+			s.now = s.now.Add(time.Minute)
+			open(s)
+			late := first(2)
+			late.Returned = true
+			s.agent.HandleUpstream(s.now, late)
+		}, idle, false},
+		{"flows stay idle for longer than the agent kept them", func(s *agentFixture) {
+			s.now = s.now.Add(time.Minute)
+			open(s)
+			s.now = s.now.Add(90 * time.Second)
+			s.agent.Tick(s.now)
+		}, 2 * time.Minute, false},
+		{"the cache was full when the flow began", func(s *agentFixture) {
+			s.now = s.now.Add(time.Minute)
+			for i := range 1 << 14 {
+				packet := data()
+				packet.Flow.Source.Port, packet.Flow.Destination.Port = uint16(i), 1
+				packet.Reset = true
+				s.agent.HandleFrame(s.now, balancer, &hickoryframe.Header{Kind: uint8(hickorysteering.KindData)}, packet)
+			}
+			open(s)
+			s.now = s.now.Add(5 * time.Second)
+			s.agent.Tick(s.now) // the other flows have ended and are removed
+		}, idle, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newAgentFixture(t)
+			c.prepare(s)
+			query := hickoryframe.Query{IdleTime: uint32(c.idle.Milliseconds())}
+			answered := s.queryAnswers(&query)
+			s.is.Equal(len(answered), 1)
+			s.is.Equal(answered[0] == hickorysteering.ReasonNotHeld, c.denied)
+		})
+	}
+}
+
+// TestClockIsNoProof guards against an agent that has restarted and denies flows which
+// its upstream holds, because the published start of the upstream seems to be later than
+// its own: the clock was ahead when the upstream started. Balancers of earlier builds
+// send that start in the reserved bytes of a query.
+func TestClockIsNoProof(t *testing.T) {
+	var encoded [hickoryframe.QuerySize]byte
+	binary.BigEndian.PutUint32(encoded[:], 15000)
+	binary.BigEndian.PutUint64(encoded[4:], 1_780_000_002_400)
+	var query hickoryframe.Query
+	s := newAgentFixture(t)
+	s.is.True(query.Get(encoded[:]))
+	s.is.Equal(s.queryAnswers(&query), []hickorysteering.Reason{hickorysteering.ReasonUnknown})
+}
--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -13,8 +13,8 @@
 	// maxAgentFlows bounds the flow cache of an agent. It is above the connections
 	// of any current upstream.
 	maxAgentFlows = 1 << 14
-	// endedFlowLife is how long an agent keeps a flow in its cache after the flow
-	// has ended.
+	// endedFlowLife is how long an agent keeps a flow in its cache after both sides
+	// have ended it.
 	endedFlowLife = 3 * time.Second
 	// maxReturnTime is the longest time that an upstream takes to return a packet
 	// whose flow it does not hold.
@@ -27,8 +27,9 @@
 	// that it no longer holds, for the agent to conclude that the upstream has
 	// restarted.
 	lostFlowMaxIdle = 5 * time.Second
-	// agentFlowLife is how long an agent keeps an idle flow in its cache.
-	agentFlowLife = 60 * time.Second
+	// minFlowLife is how long an agent keeps an idle flow in its cache at least. It
+	// keeps the flow for longer if upstreams may hold it for longer.
+	minFlowLife = 60 * time.Second
 	// reportInterval is the time between two reports to a balancer that sends new
 	// flows to this agent. Such a balancer chooses upstreams by the reported load.
 	reportInterval = 400 * time.Millisecond
@@ -66,12 +67,14 @@
 	// onAnswerTime is called with the time from a request to its answer.
 	onAnswerTime func(time.Duration)
 
-	// startedAt is when the agent began to receive packets, startedAtWall the same
-	// instant by the wall clock.
-	startedAt     hickorymodel.Instant
-	startedAtWall hickorymodel.WallTime
-	gate          gate
-	health        health
+	gate   gate
+	health health
+	// recordedSince is the time since which flows has every flow of which a packet
+	// has passed: the agent's start, or the last packet of a flow that was left out
+	// because flows was full.
+	recordedSince hickorymodel.Instant
+	// flowLife is how long an idle flow stays in flows. It never falls.
+	flowLife time.Duration
 	// flows has at most maxAgentFlows entries; busy of them have an unanswered
 	// request.
 	flows map[hickorymodel.FlowKey]*agentFlow
@@ -101,17 +104,16 @@
 	}
 }
 
-// NewAgent returns an agent without flows. Now and wall are its start by the
-// monotonic and by the wall clock. Seeds are balancers that get reports before they
-// have sent anything. OnDecision is called with each decision.
-func NewAgent(now hickorymodel.Instant, wall hickorymodel.WallTime, service hickorydirectory.ServiceHash, balancerPort uint16, seeds []hickorymodel.Endpoint, onDecision func(*Decision), options ...AgentOption) *Agent {
+// NewAgent returns an agent without flows that starts now. Seeds are balancers that
+// get reports before they have sent anything. OnDecision is called with each decision.
+func NewAgent(now hickorymodel.Instant, service hickorydirectory.ServiceHash, balancerPort uint16, seeds []hickorymodel.Endpoint, onDecision func(*Decision), options ...AgentOption) *Agent {
 	a := &Agent{
 		service:       service,
 		balancerPort:  balancerPort,
 		onDecision:    onDecision,
 		onAnswerTime:  func(time.Duration) {},
-		startedAt:     now,
-		startedAtWall: wall,
+		recordedSince: now,
+		flowLife:      minFlowLife,
 		flows:         map[hickorymodel.FlowKey]*agentFlow{},
 		balancers:     map[hickorymodel.Endpoint]*balancerRecord{},
 	}
@@ -190,6 +192,7 @@
 			f.notified = hickorymodel.Endpoint{} // the balancer has restarted since the last notice
 		}
 		f.callerEnded = f.callerEnded || p.Finish || p.Reset
+		f.reset = f.reset || p.Reset
 		if p.Reset || (p.Finish && p.Data == 0) {
 			a.setBusy(f, false) // the caller expects no answer
 		}
--- a/core/hickorysteering/agent_flow.go
+++ b/core/hickorysteering/agent_flow.go
@@ -15,7 +15,9 @@
 	// the upstream.
 	callerEnded   bool
 	upstreamEnded bool
-	seenAt        hickorymodel.Instant
+	// reset is true once either side has reset the flow.
+	reset  bool
+	seenAt hickorymodel.Instant
 	// upstreamSentAt is when the upstream last sent a packet of the flow; 0 for
 	// never.
 	upstreamSentAt hickorymodel.Instant
@@ -34,6 +36,12 @@
 	requestedAt hickorymodel.Instant
 }
 
+// ended reports whether the upstream has ended the flow. While only one side has, the
+// upstream may still have data to send or to receive.
+func (f *agentFlow) ended() bool {
+	return f.reset || (f.callerEnded && f.upstreamEnded)
+}
+
 // open reports whether the upstream holds the flow and neither side has ended it.
 func (f *agentFlow) open() bool {
 	return f.stage == stageOpen && !f.callerEnded && !f.upstreamEnded
@@ -51,10 +59,13 @@
 	return true
 }
 
+// flow returns the cache entry of a flow. It adds an entry if there is none, and
+// returns nil if the cache is full.
 func (a *Agent) flow(now hickorymodel.Instant, key hickorymodel.FlowKey) *agentFlow {
 	f, ok := a.flows[key]
 	if !ok {
 		if len(a.flows) >= maxAgentFlows {
+			a.recordedSince = now
 			return nil
 		}
 		f = &agentFlow{}
--- a/core/hickorysteering/agent_health.go
+++ b/core/hickorysteering/agent_health.go
@@ -102,6 +102,7 @@
 	}
 	a.recordOutcome(now, f, true)
 	f.upstreamEnded = true
+	f.reset = true
 }
 
 // recordOutcome counts the outcome of the unanswered request of a flow, if there is
--- a/core/hickorysteering/agent_owner.go
+++ b/core/hickorysteering/agent_owner.go
@@ -7,19 +7,13 @@
 	"hickoryworks/schema/hickoryframe"
 )
 
-// minAgentRestartTime is less than it takes to stop an agent and start its
-// successor. An upstream that started at most this long before the agent has
-// therefore had no other agent.
-const minAgentRestartTime = 250 * time.Millisecond
-
-// HandleQuery answers for each of the flows whether the upstream holds it. An agent
-// that has run since its upstream started, or for longer than the idle timeout of
-// flows, has received packets of every flow that the upstream may hold, so it can
-// rule out a flow that is not in its cache.
+// HandleQuery answers for each of the flows whether the upstream holds it. The agent
+// can rule out a flow that is not in its cache only if the cache has every flow that
+// the upstream may hold.
 func (a *Agent) HandleQuery(now hickorymodel.Instant, from hickorymodel.Endpoint, query *hickoryframe.Query, flows []hickoryframe.Notice) []Action {
 	a.actions = a.actions[:0]
 	a.recordFrame(now, from)
-	hasAllFlows := a.hasAllFlows(now, query)
+	hasAllFlows := a.hasAllFlows(now, time.Duration(query.IdleTime)*time.Millisecond)
 	action := frameAction(from, KindAnswers, ReasonNone, nil)
 	action.Verb = VerbAnswers
 	action.Answers = make([]hickoryframe.Answer, 0, len(flows))
@@ -39,17 +33,27 @@
 	return a.actions
 }
 
-// hasAllFlows reports whether the cache has every flow that the upstream holds.
-func (a *Agent) hasAllFlows(now hickorymodel.Instant, query *hickoryframe.Query) bool {
-	if len(a.flows) >= maxAgentFlows {
+// hasAllFlows reports whether the cache has every flow that the upstream may hold: the
+// agent has recorded packets for longer than an upstream keeps an idle flow, and for
+// the time that a caller's packet may take to arrive. No clock of another process can
+// tell that, since it may have jumped: the start of the upstream that is published is
+// no evidence.
+func (a *Agent) hasAllFlows(now hickorymodel.Instant, idleTime time.Duration) bool {
+	if idleTime <= 0 {
 		return false
 	}
-	idleTime := time.Duration(query.IdleTime) * time.Millisecond
-	if idleTime > 0 && now.Sub(a.startedAt) > idleTime {
-		return true
+	a.extendFlowLife(now, idleTime+searchLife)
+	return now.Sub(a.recordedSince) > idleTime+searchLife
+}
+
+// extendFlowLife keeps flows in the cache for at least the given time. Flows that were
+// idle for longer than the previous flowLife have been removed.
+func (a *Agent) extendFlowLife(now hickorymodel.Instant, life time.Duration) {
+	if life <= a.flowLife {
+		return
 	}
-	upstreamStart := hickorymodel.WallTime(query.StartedAt)
-	return upstreamStart > 0 && upstreamStart.Add(minAgentRestartTime) >= a.startedAtWall
+	a.recordedSince = max(a.recordedSince, now.Add(-a.flowLife))
+	a.flowLife = life
 }
 
 // sendNotice sends a notice that this agent owns a flow to the balancer of the
--- a/core/hickorysteering/agent_report.go
+++ b/core/hickorysteering/agent_report.go
@@ -54,8 +54,8 @@
 func (a *Agent) sweep(now hickorymodel.Instant) {
 	a.expireRequests(now)
 	for key, f := range a.flows {
-		life := agentFlowLife
-		if f.callerEnded || f.upstreamEnded {
+		life := a.flowLife
+		if f.ended() {
 			life = endedFlowLife
 		}
 		if now.Sub(f.seenAt) > life {
--- a/core/hickorysteering/query.go
+++ b/core/hickorysteering/query.go
@@ -41,16 +41,12 @@
 			return
 		}
 		delete(b.queries, endpoint)
-		p := b.peer(endpoint)
-		p.awaitAnswer(now)
+		b.peer(endpoint).awaitAnswer(now)
 		for len(flows) > 0 {
 			count := min(len(flows), maxQueryFlows)
 			action := frameAction(endpoint, KindQuery, ReasonNone, nil)
 			action.Verb = VerbQuery
-			action.Query = hickoryframe.Query{
-				IdleTime:  uint32(b.view.IdleTimeout.Milliseconds()),
-				StartedAt: uint64(p.upstream.StartedAt),
-			}
+			action.Query = hickoryframe.Query{IdleTime: uint32(b.view.IdleTimeout.Milliseconds())}
 			action.Flows = flows[:count]
 			flows = flows[count:]
 			sent++
--- a/io/hickoryfabric/agent.go
+++ b/io/hickoryfabric/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -125,7 +124,7 @@
 		answerTime:       a.scope.Tagged(map[string]string{"service": string(a.settings.Service)}).Histogram("answer_time", hickorymetric.OpeningTimeBuckets),
 	}
 	service := hickorydirectory.HashService(a.settings.Service)
-	d.steering = hickorysteering.NewAgent(a.clock.Now(), hickorymodel.NewWallTime(time.Now()), service, uint16(a.settings.AgentPort), seeds, d.recorder.record,
+	d.steering = hickorysteering.NewAgent(a.clock.Now(), service, uint16(a.settings.AgentPort), seeds, d.recorder.record,
 		hickorysteering.WithAnswerTime(d.answerTime.RecordDuration))
 	a.group = hickoryduty.New(string(a.settings.Instance), a.logger)
 	a.group.Add("receive from balancers", func(ctx context.Context) error { return a.dataSocket.ReceiveBatches(ctx, a.rings.fromBalancers) })
--- a/schema/hickoryframe/frame_generated.go
+++ b/schema/hickoryframe/frame_generated.go
@@ -119,15 +119,15 @@
 type Query struct {
 	// IdleTime is the time in milliseconds without packets after which agents and balancers may drop their record of a flow.
 	IdleTime uint32
-	// StartedAt is the published time of the upstream's start in Unix milliseconds; 0 when it is not known.
-	StartedAt uint64
+	// Reserved is zero.
+	Reserved uint64
 }
 
 // Put writes the record to data, which must hold at least QuerySize bytes.
 func (r *Query) Put(data []byte) {
 	_ = data[QuerySize-1]
 	binary.BigEndian.PutUint32(data[0:], r.IdleTime)
-	binary.BigEndian.PutUint64(data[4:], r.StartedAt)
+	binary.BigEndian.PutUint64(data[4:], r.Reserved)
 }
 
 // Get reads the record from data and reports whether data was long enough.
@@ -136,7 +136,7 @@
 		return false
 	}
 	r.IdleTime = binary.BigEndian.Uint32(data[0:])
-	r.StartedAt = binary.BigEndian.Uint64(data[4:])
+	r.Reserved = binary.BigEndian.Uint64(data[4:])
 	return true
 }
 
