Let no other entry with its address hide an upstream

Cause: the directory kept one entry for each endpoint by published start and revision before it looked at the service, so the odd entry displaced the good one. In the same way the removed entry of a predecessor whose clock had been ahead stayed the chosen one, so that a live upstream counted as removed for 75 s and its agent as ended when it did not answer for 0.3 s.

Change: an entry of a named service goes before others; entries are compared by IP address, since one agent runs beside one upstream; an upstream is removed only when no entry with its address is left.

Ruled out: dropping entries of unnamed services. A configuration may drop a service after it has moved its routes, and open flows stay at its upstreams (TestUpstreamOfDroppedService, which passes before too). Ordering by revision alone: TestNewestEntryOfEndpoint demands the start.

--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -202,6 +202,70 @@
 	}
 }
 
+// TestOddEntryHidesNoUpstream guards against an upstream that gets no flows, and whose
+// open flows are not found, because another writer has left an entry with its address.
+func TestOddEntryHidesNoUpstream(t *testing.T) {
+	odd := func(revision, startedAt int, endpoint hickoryid.Endpoint) hickorydirectory.Change {
+		change := upstream(1, revision, false, "0s")
+		change.Upstream.ID, change.Upstream.Service = "z-odd", "elsewhere"
+		change.Upstream.StartedAt, change.Upstream.Endpoint = startedAt, endpoint
+		return change
+	}
+	good := upstream(1, 3, false, "0s")
+	good.Upstream.StartedAt = 1000
+	cases := []struct {
+		name    string
+		changes []hickorydirectory.Change
+	}{
+		{"written later", []hickorydirectory.Change{good, odd(9, 1000, good.Upstream.Endpoint)}},
+		{"with a later start", []hickorydirectory.Change{good, odd(9, 5000, good.Upstream.Endpoint)}},
+		{"written earlier", []hickorydirectory.Change{odd(1, 5000, good.Upstream.Endpoint), good}},
+		{"with another port", []hickorydirectory.Change{good, odd(9, 5000, "10.0.0.1:9")}},
+		{"removed", []hickorydirectory.Change{
+			good, odd(9, 5000, good.Upstream.Endpoint),
+			{Removed: &hickorymessage.RemovedUpstream{ID: "z-odd", Revision: 12}},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := hickorydirectory.New()
+			d.Apply(start, changes(12, append([]hickorydirectory.Change{table(1)}, c.changes...)...))
+			view := d.View(start, wall)
+			is.Equal(accepting(view), ids{"u-1"})
+			is.Equal(len(view.Upstreams), 1)
+			is.Equal(view.Upstreams[0].Service, hickorydirectory.HashService("clubroom"))
+		})
+	}
+}
+
+// TestUpstreamOfDroppedService guards against open flows that are not found at the
+// upstreams of a service which a configuration has dropped after moving its routes.
+func TestUpstreamOfDroppedService(t *testing.T) {
+	is := is.New(t)
+	d := hickorydirectory.New()
+	former := upstream(1, 3, false, "0s")
+	former.Upstream.Service = "dropped"
+	d.Apply(start, changes(12, table(1), former))
+	is.Equal(len(d.View(start, wall).Upstreams), 1)
+}
+
+// TestClockRemovesNoUpstream guards against open flows that are reset because the entry
+// of a predecessor, whose clock was ahead, has been removed: as long as any entry has the
+// address, an upstream may run there.
+func TestClockRemovesNoUpstream(t *testing.T) {
+	is := is.New(t)
+	d := hickorydirectory.New()
+	predecessor, successor := upstream(1, 3, false, "0s"), upstream(1, 9, false, "0s")
+	predecessor.Upstream.StartedAt = 3400
+	successor.Upstream.ID, successor.Upstream.StartedAt = "u-2", 2000
+	d.Apply(start, changes(9, table(1), predecessor, successor))
+	d.Apply(start, changes(12, removed(1, 12)))
+	is.True(!d.View(start, wall).Upstreams[0].Removed)
+	d.Apply(start, changes(15, removed(2, 15)))
+	is.True(d.View(start, wall).Upstreams[0].Removed)
+}
+
 // TestLapsedEntries guards against a service that loses all upstreams at once
 // because their entries expired while the store was not available, and against
 // entries that are never removed.
--- a/core/hickorydirectory/record.go
+++ b/core/hickorydirectory/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"hickoryworks/core/hickorymodel"
+	"hickoryworks/schema/hickoryid"
 	"hickoryworks/schema/hickorymessage"
 )
 
@@ -34,8 +35,19 @@
 	return r.removedAt == 0 || now.Before(r.usableUntil)
 }
 
+// displaces reports whether the entry describes the upstream at an address rather than
+// another entry with the same address.
+func (r *upstreamRecord) displaces(other *upstreamRecord, latestStart hickorymodel.WallTime, services map[hickoryid.ServiceName]hickorymessage.RoutedService) bool {
+	_, named := services[r.listed.Service]
+	_, otherNamed := services[other.listed.Service]
+	if named != otherNamed {
+		return named
+	}
+	return r.isNewerThan(other, latestStart)
+}
+
 // isNewerThan reports whether the entry is of a later upstream at the same
-// endpoint. The published starts decide if both are known, since revisions also
+// address. The published starts decide if both are known, since revisions also
 // rise with other changes; a start after latestStart is not possible and counts as
 // earlier than any other. Without them, an entry that exists is newer than a removed
 // one.
--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -36,7 +36,8 @@
 	// from caches.
 	IdleTimeout time.Duration
 	Routes      map[hickorymodel.SocketAddress]*Route
-	// Upstreams are sorted by ID and have different endpoints.
+	// Upstreams are sorted by ID and have different IP addresses, since an agent runs
+	// beside one upstream.
 	Upstreams []Upstream
 }
 
@@ -72,9 +73,9 @@
 	Accepting bool
 	// Leaving is true when the upstream itself is leaving or has left.
 	Leaving bool
-	// Removed is true when the upstream has no entry any more, so that it has ended.
-	// An entry that may only have expired while the store was not available does not
-	// count as removed.
+	// Removed is true when the upstream has no entry any more, so that it has ended,
+	// and no other entry has its address. An entry that may only have expired while
+	// the store was not available does not count as removed.
 	Removed bool
 	// ColdUntil is when the cold start ends; 0 for a warm upstream.
 	ColdUntil hickorymodel.Instant
@@ -105,28 +106,44 @@
 		}
 		view.markUrgent()
 	}
-	newest := d.newestAtEndpoints(wall.Add(maxClockError))
+	entries := d.entriesByAddress(now, wall.Add(maxClockError), services)
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		record := d.upstreams[id]
-		if record.endpoint.IsZero() || newest[record.endpoint] != record {
+		entry := entries[record.endpoint.Address]
+		if record.endpoint.IsZero() || entry.newest != record {
 			continue
 		}
-		view.Upstreams = append(view.Upstreams, d.upstream(now, record, services[record.listed.Service]))
+		upstream := d.upstream(now, record, services[record.listed.Service])
+		upstream.Removed = !entry.listed
+		view.Upstreams = append(view.Upstreams, upstream)
 	}
 	return view
 }
 
-// newestAtEndpoints returns the newest entry of each endpoint. An upstream that has
-// restarted has a new entry while its old one has not expired yet. LatestStart is the
-// latest possible start of an upstream.
-func (d *Directory) newestAtEndpoints(latestStart hickorymodel.WallTime) map[hickorymodel.Endpoint]*upstreamRecord {
-	newest := map[hickorymodel.Endpoint]*upstreamRecord{}
+// addressEntries sums up the entries with one IP address.
+type addressEntries struct {
+	// newest is the entry of the upstream that runs there.
+	newest *upstreamRecord
+	// listed is true when any of the entries exists, or may only have expired.
+	listed bool
+}
+
+// entriesByAddress returns the entries of each address. An upstream that has restarted
+// has a new entry while its old one has not expired yet. An entry of a service that
+// the configuration does not name is of another writer, or of a service that was
+// dropped: it does not displace one of a named service. LatestStart is the latest
+// possible start of an upstream.
+func (d *Directory) entriesByAddress(now hickorymodel.Instant, latestStart hickorymodel.WallTime, services map[hickoryid.ServiceName]hickorymessage.RoutedService) map[[4]byte]addressEntries {
+	entries := map[[4]byte]addressEntries{}
 	for _, record := range d.upstreams {
-		if other := newest[record.endpoint]; other == nil || record.isNewerThan(other, latestStart) {
-			newest[record.endpoint] = record
+		entry := entries[record.endpoint.Address]
+		if entry.newest == nil || record.displaces(entry.newest, latestStart, services) {
+			entry.newest = record
 		}
+		entry.listed = entry.listed || record.listedOrExpired(now)
+		entries[record.endpoint.Address] = entry
 	}
-	return newest
+	return entries
 }
 
 func (v *View) addRoute(published *hickorymessage.Route) {
@@ -169,7 +186,6 @@
 		Slots:     record.listed.Slots,
 		Accepting: record.accepting(now) && (zone == nil || !zone.mark.Excluded),
 		Leaving:   !record.accepting(now),
-		Removed:   !record.listedOrExpired(now),
 		ColdUntil: record.coldUntil,
 		RampTime:  service.RampTime.Value(),
 		RampRate:  service.RampRate,
