Admit no flow to a cold upstream right after a restart of its agent

Cause: the gate of a new agent begins with an empty window, which says nothing about the flows that its predecessor has just admitted.

Change: within gateWindow of its start an agent returns first packets for an upstream in a cold start with a stated rate.

Ruled out: half of the rate in that time, which keeps the users' factor of 1.5 but not the stated rate.

Tests of the limit itself let the time after the start pass first (passStart); their numbers stay.

--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -112,6 +112,7 @@
 		balancerPort:  balancerPort,
 		onDecision:    onDecision,
 		onAnswerTime:  func(time.Duration) {},
+		gate:          gate{startedAt: now},
 		recordedSince: now,
 		flowLife:      minFlowLife,
 		flows:         map[hickorymodel.FlowKey]*agentFlow{},
--- a/core/hickorysteering/agent_gate.go
+++ b/core/hickorysteering/agent_gate.go
@@ -36,6 +36,9 @@
 // gate is the admission control of an upstream: it limits new flows during a cold
 // start and while the upstream is silent.
 type gate struct {
+	// startedAt is the agent's start. The agent may have had a predecessor, whose
+	// openings it does not know.
+	startedAt hickorymodel.Instant
 	// coldUntil is when the cold start ends; 0 for a warm upstream.
 	coldUntil hickorymodel.Instant
 	rampTime  time.Duration
@@ -67,13 +70,15 @@
 	}
 }
 
-// admit reports whether a first packet may be delivered now, and counts it if so.
+// admit reports whether a first packet may be delivered now, and counts it if so. In
+// the gateWindow after its start the agent admits none to a cold upstream, since its
+// predecessor may just have admitted as many as the upstream bears.
 func (g *gate) admit(now hickorymodel.Instant) (Reason, bool) {
 	g.dropOldOpenings(now)
 	if g.silent && g.lastProbeAt != 0 && now.Sub(g.lastProbeAt) < silentProbeInterval {
 		return ReasonSilent, false
 	}
-	if g.rateLimited(now) && len(g.openings) >= max(minColdFlows, int(g.rampRate)) {
+	if g.rateLimited(now) && (now.Sub(g.startedAt) < gateWindow || len(g.openings) >= max(minColdFlows, int(g.rampRate))) {
 		return ReasonCold, false
 	}
 	if g.silent {
--- a/core/hickorysteering/agent_test.go
+++ b/core/hickorysteering/agent_test.go
@@ -44,6 +44,11 @@
 	return s.agent.HandleFrame(s.now, balancer, &header, packet)
 }
 
+// passStart lets the time pass in which a new agent admits no flow to a cold upstream.
+func (s *agentFixture) passStart() {
+	s.now = s.now.Add(1050 * time.Millisecond)
+}
+
 func (s *agentFixture) deliver(from hickorymodel.Endpoint) []hickorysteering.Action {
 	return s.agent.HandleFrame(s.now, from, &hickoryframe.Header{Kind: uint8(hickorysteering.KindData)}, data())
 }
@@ -103,6 +108,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := newAgentFixture(t)
+			s.passStart()
 			admitted := 0
 			for port := range uint16(100) {
 				s.now = s.now.Add(10 * time.Millisecond)
@@ -121,12 +127,48 @@
 // frame arrives from a balancer whose view does not have the cold start yet.
 func TestColdStartOfAnyBalancer(t *testing.T) {
 	s := newAgentFixture(t)
+	s.passStart()
 	s.open(1, hickoryframe.Header{RampRate: 1000, ColdTime: 2000})
 	s.open(2, hickoryframe.Header{RampRate: 1000})
 	s.open(3, hickoryframe.Header{RampRate: 1000})
 	s.is.Equal(s.reason(s.open(4, hickoryframe.Header{RampRate: 1000})), hickorysteering.ReasonCold)
 }
 
+// TestColdStartAfterRestart guards against a cold upstream that gets twice its ramp rate
+// in one second, because the agent beside it is killed and its successor does not know
+// the flows that were just opened.
+func TestColdStartAfterRestart(t *testing.T) {
+	header := hickoryframe.Header{RampRate: 40000, ColdTime: 10000, RampTime: 10000}
+	arrivals := []hickorymodel.Instant{}
+	s := newAgentFixture(t)
+	s.passStart()
+	for port := range uint16(1200) {
+		if port == 60 { // the restart takes 300 ms
+			now := s.now.Add(300 * time.Millisecond)
+			s = newAgentFixture(t)
+			s.now = now
+			s.agent = hickorysteering.NewAgent(now, clubroom, balancerPort, nil, func(*hickorysteering.Decision) {})
+		}
+		if s.open(port, header)[0].Verb == hickorysteering.VerbDeliver {
+			arrivals = append(arrivals, s.now)
+		}
+		s.answer(hickorysteering.Packet{Answer: true})
+		s.now = s.now.Add(2 * time.Millisecond)
+	}
+	worst := 0
+	for i, from := range arrivals {
+		count := 0
+		for _, at := range arrivals[i:] {
+			if at.Sub(from) < time.Second {
+				count++
+			}
+		}
+		worst = max(worst, count)
+	}
+	s.is.Equal(worst, 40)
+	s.is.Equal(len(arrivals), 120) // the upstream gets flows again afterwards
+}
+
 // TestReturnedPacketGoesBack guards against packets that are lost because the
 // upstream that got them does not hold their flow. The agent derives the balancer
 // from the mark alone, so that this also works for an agent that has just started.
@@ -145,6 +187,7 @@
 // restarted.
 func TestLostFlow(t *testing.T) {
 	s := newAgentFixture(t)
+	s.passStart()
 	s.open(1, hickoryframe.Header{RampRate: 1000, RampTime: 2000})
 	mark := s.deliver(balancer)[0].Mark
 	s.answer(hickorysteering.Packet{Data: 5})
