Keep an upstream whose entry can't be parsed, without new flows

Cause: a value under an upstream's key that can't be parsed was applied as the removal of the entry. A removed upstream whose agent is restarted, paused for 0.3 s or stopping counts as ended, so searches leave it out and reset its open flows, although the host may live: another writer can leave such a value.

Change: the upstream counts as leaving. Exchanges carry it as a leaving entry, so the message does not change and earlier builds understand it.

Ruled out: keeping the last valid entry in use, which TestUnreadableValues guards against.

--- a/core/hickorydirectory/apply.go
+++ b/core/hickorydirectory/apply.go
@@ -44,6 +44,8 @@
 		d.setUpstream(now, change.Upstream)
 	case change.Removed != nil:
 		d.markRemoved(now, change.Removed.ID, Revision(change.Removed.Revision), change.Removed.ExpiryTime.Value())
+	case change.Unreadable != nil:
+		d.markUnreadable(now, change.Unreadable.ID, Revision(change.Unreadable.Revision))
 	case change.Zone != nil:
 		d.setZone(now, change.Zone)
 	}
@@ -88,8 +90,8 @@
 		d.upstreams[id] = &upstreamRecord{revision: revision, removedAt: now}
 		return
 	}
-	// A removal ends an entry of the same revision: an entry that cannot be decoded
-	// counts as removed, also at balancers that have applied it.
+	// A removal ends an entry of the same revision: balancers of earlier builds take an
+	// entry that cannot be parsed for removed.
 	if revision < record.revision {
 		return
 	}
@@ -108,6 +110,26 @@
 	d.changeCount++
 }
 
+// markUnreadable records that an entry can't be parsed any more. Its upstream gets no
+// new flows, but it may run and hold flows: another writer may have replaced the entry.
+func (d *Directory) markUnreadable(now hickorymodel.Instant, id hickoryid.UpstreamID, revision Revision) {
+	record, known := d.upstreams[id]
+	if !known || record.endpoint.IsZero() {
+		d.markRemoved(now, id, revision, 0)
+		return
+	}
+	if revision < record.revision || (record.removedAt != 0 && revision == record.revision) {
+		return
+	}
+	next := *record
+	next.removedAt, next.usableUntil = 0, 0
+	next.revision = revision
+	next.listed.Revision = int(revision)
+	next.listed.Leaving = true
+	d.upstreams[id] = &next
+	d.changeCount++
+}
+
 // mayHaveExpired reports whether an entry may have been removed only because it
 // expired while the store was not available and its upstream could not renew it.
 func (d *Directory) mayHaveExpired(now hickorymodel.Instant) bool {
@@ -143,6 +165,9 @@
 		if change.Upstream != nil {
 			listedUpstreams[change.Upstream.ID] = true
 		}
+		if change.Unreadable != nil {
+			listedUpstreams[change.Unreadable.ID] = true
+		}
 		if change.Zone != nil {
 			listedZones[change.Zone.Zone] = true
 		}
--- a/core/hickorydirectory/change.go
+++ b/core/hickorydirectory/change.go
@@ -10,11 +10,13 @@
 	Table    *hickorymessage.RouteTable
 	Upstream *hickorymessage.ListedUpstream
 	Removed  *hickorymessage.RemovedUpstream
-	Zone     *hickorymessage.ZoneMark
+	// Unreadable names an entry that exists but can't be parsed.
+	Unreadable *hickorymessage.RemovedUpstream
+	Zone       *hickorymessage.ZoneMark
 }
 
-// RejectedValue is a published value that can't be parsed. If its key named an
-// upstream, the last valid value of the key is dropped, otherwise it stays in use.
+// RejectedValue is a published value that can't be parsed. If its key names an
+// upstream, the upstream gets no new flows, otherwise the last valid value stays in use.
 type RejectedValue struct {
 	Key    string
 	Reason string
--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -266,6 +266,46 @@
 	is.True(d.View(start, wall).Upstreams[0].Removed)
 }
 
+// TestUnreadableEntryIsNoRemoval guards against open flows that are reset because another
+// writer has replaced the entry of a live upstream by bytes that can't be parsed, and
+// against new flows at such an upstream.
+func TestUnreadableEntryIsNoRemoval(t *testing.T) {
+	unreadable := func(revision int) hickorydirectory.Change {
+		return hickorydirectory.Change{Unreadable: &hickorymessage.RemovedUpstream{ID: "u-1", Revision: revision}}
+	}
+	cases := []struct {
+		name      string
+		batches   []*hickorydirectory.Batch
+		accepting int
+		removed   bool
+	}{
+		{"changed", []*hickorydirectory.Batch{changes(8, unreadable(8))}, 0, false},
+		{"in a listing", []*hickorydirectory.Batch{listing(8, unreadable(8))}, 0, false},
+		{"readable again", []*hickorydirectory.Batch{changes(8, unreadable(8)), changes(9, upstream(1, 9, false, "0s"))}, 1, false},
+		{"older than the entry", []*hickorydirectory.Batch{changes(8, unreadable(2))}, 1, false},
+		{"removed later", []*hickorydirectory.Batch{changes(8, unreadable(8)), changes(9, removed(1, 9))}, 0, true},
+		{"written after its removal", []*hickorydirectory.Batch{changes(8, removed(1, 8)), changes(9, unreadable(9))}, 0, false},
+		{"before its removal, which came first", []*hickorydirectory.Batch{changes(9, removed(1, 9)), changes(8, unreadable(8))}, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d, follower := hickorydirectory.New(), hickorydirectory.New()
+			d.Apply(start, listing(5, table(1), upstream(1, 3, false, "0s")))
+			follower.Merge(start, d.Export(start))
+			for _, batch := range c.batches {
+				d.Apply(start, batch)
+			}
+			follower.Merge(start, d.ExportChanges(start, 5, 1))
+			for _, view := range []*hickorydirectory.View{d.View(start, wall), follower.View(start, wall)} {
+				is.Equal(len(view.Upstreams), 1)
+				is.Equal(len(accepting(view)), c.accepting)
+				is.Equal(view.Upstreams[0].Removed, c.removed)
+			}
+		})
+	}
+}
+
 // TestLapsedEntries guards against a service that loses all upstreams at once
 // because their entries expired while the store was not available, and against
 // entries that are never removed.
