Refuse a first packet only when no agent may still have it

Cause: endAttempt reset a flow with its last copy when no upstream was left, although an agent that had got an earlier copy, from this balancer or another one, had not returned it. The flow opens when that upstream's late answer reaches the caller. refuseUnrouted did the same for copies of a first packet that another balancer may have routed.

Change: the cache entry of a flow has the agents that have the first packet. A refusal needs that all of them have returned it and that this balancer has handled the flow from the first copy on; it follows with the last return.

Ruled out: a longer wait before the reset. The caller gives up 1.4 s after its first copy, so there is nothing to wait for.

TestRefusedFirstPacket demanded the reset while agent(0) had an unreturned copy; it now demands it when that agent returns the copy, once.

--- a/core/hickorysteering/flow.go
+++ b/core/hickorysteering/flow.go
@@ -28,6 +28,16 @@
 	}
 }
 
+func (l *triedList) remove(endpoint hickorymodel.Endpoint) {
+	for i, item := range l.items[:l.count] {
+		if item == endpoint {
+			l.count--
+			l.items[i] = l.items[l.count]
+			return
+		}
+	}
+}
+
 func (l *triedList) full() bool {
 	return l.count == len(l.items)
 }
@@ -57,5 +67,26 @@
 	// copies.
 	firstAt hickorymodel.Instant
 	tried   triedList
+	// unreturned holds the agents that got the first packet and have not returned it.
+	// The flow may open at the upstream of each.
+	unreturned triedList
+	// complete is true if unreturned has all such agents: this balancer has handled
+	// the first packet and its copies from the first one on.
+	complete bool
+	// refused is true once no upstream was left for the last copy.
+	refused bool
 	seenAt  hickorymodel.Instant
 }
+
+// unheld reports whether no upstream can hold the flow, so that its first packet may be
+// answered with a reset.
+func (f *flow) unheld() bool {
+	return f.complete && f.unreturned.count == 0
+}
+
+// recordSent records that an agent gets the first packet. If it gets a second one
+// before it has returned the first, a return no longer tells that it has neither.
+func (f *flow) recordSent(to hickorymodel.Endpoint) {
+	f.complete = f.complete && !f.unreturned.full() && !f.unreturned.has(to)
+	f.unreturned.add(to)
+}
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -36,31 +36,37 @@
 	if known && f.sequence == p.Sequence && !f.owner.IsZero() {
 		f.seenAt = now
 		if f.stage != stageOpening || p.Copy <= f.copies {
-			b.sendFirstPacket(now, p, b.peer(f.owner))
+			b.sendFirstPacket(now, p, f, b.peer(f.owner))
 			return
 		}
 		b.peer(f.owner).firstPacketUnansweredAt = now
 	}
 	route := b.view.Routes[p.Flow.Destination]
 	if route == nil {
-		b.refuseUnrouted(now, p)
+		b.refuseUnrouted(now, p, f)
 		return
 	}
 	if !known || f.sequence != p.Sequence {
 		if f = b.flow(now, p.Flow); f == nil {
 			f = &flow{}
 		}
-		*f = flow{sequence: p.Sequence, seenAt: now, firstAt: now}
+		*f = flow{sequence: p.Sequence, seenAt: now, firstAt: now, complete: p.Copy == 0}
 	}
 	f.copies = p.Copy
 	b.assign(now, p, route, f, StepOpened)
 }
 
-// refuseUnrouted resets a flow to an address without a route. A balancer without a
-// complete view, or one that was paused, drops the packet instead.
-func (b *Balancer) refuseUnrouted(now hickorymodel.Instant, p *Packet) {
+// refuseUnrouted resets a flow to an address without a route; f is its cache entry, or
+// nil. A balancer without a complete view, or one that was paused, drops the packet
+// instead. So does one that has not handled the flow from its first packet on: another
+// balancer may know a route and have opened the flow.
+func (b *Balancer) refuseUnrouted(now hickorymodel.Instant, p *Packet, f *flow) {
 	b.recordDecision(&Decision{Step: StepNoRoute, Flow: p.Flow, Copy: p.Copy})
-	if b.view.StateComplete && !now.Before(b.staleUntil) {
+	unheld := p.Copy == 0
+	if f != nil && f.sequence == p.Sequence {
+		unheld = f.unheld()
+	}
+	if unheld && b.view.StateComplete && !now.Before(b.staleUntil) {
 		b.sendReset(p)
 	}
 }
@@ -88,12 +94,13 @@
 		Step: step, Flow: p.Flow, Peer: chosen.endpoint, Upstream: chosen.upstream.ID,
 		Copy: p.Copy, Revision: int(chosen.upstream.Revision), Load: load, Count: f.tried.count,
 	})
-	b.sendFirstPacket(now, p, chosen)
+	b.sendFirstPacket(now, p, f, chosen)
 }
 
 // sendFirstPacket sends a first packet to an agent.
-func (b *Balancer) sendFirstPacket(now hickorymodel.Instant, p *Packet, to *peer) {
+func (b *Balancer) sendFirstPacket(now hickorymodel.Instant, p *Packet, f *flow, to *peer) {
 	to.awaitAnswer(now)
+	f.recordSent(to.endpoint)
 	action := frameAction(to.endpoint, KindOpen, ReasonNone, p.Bytes)
 	action.Header.Service = uint32(to.upstream.Service)
 	if route := b.view.Routes[p.Flow.Destination]; route != nil {
@@ -109,12 +116,14 @@
 
 // endAttempt ends an attempt for which no upstream is left. It sends a reset with
 // the last copy, so that the caller need not wait; before that, an upstream may
-// accept the next copy.
+// accept the next copy. While an agent may still have the packet, or another balancer
+// may have sent an earlier copy to one, the flow may yet open, so no reset is sent.
 func (b *Balancer) endAttempt(now hickorymodel.Instant, p *Packet, f *flow, reason Reason) {
 	f.tried = triedList{}
 	f.owner = hickorymodel.Endpoint{}
 	late := now.Before(b.staleUntil) || now.Sub(f.firstAt) < minCopyDelay
-	if p.Copy < lastCopy || late {
+	f.refused = p.Copy >= lastCopy && !late
+	if !f.refused || !f.unheld() {
 		b.recordDecision(&Decision{Step: StepWaited, Flow: p.Flow, Copy: p.Copy, Reason: reason})
 		return
 	}
@@ -133,12 +142,17 @@
 		b.peer(from).busyUntil = now.Add(busyTime)
 	}
 	f, known := b.flows[p.Flow]
+	if known {
+		f.unreturned.remove(from)
+	}
 	if known && (f.owner != from || f.stage != stageOpening) {
-		return // a late return; the first packet has been sent elsewhere since
+		// A late return; the first packet has been sent elsewhere since.
+		b.refuseLate(now, p, f, reason)
+		return
 	}
 	route := b.view.Routes[p.Flow.Destination]
 	if route == nil {
-		b.refuseUnrouted(now, p)
+		b.refuseUnrouted(now, p, f)
 		return
 	}
 	if !known {
@@ -147,7 +161,7 @@
 		}
 		f.sequence = p.Sequence
 		f.copies = p.Copy
-		f.firstAt = now
+		f.firstAt = now // complete stays false: the cache may have lost the flow
 	}
 	f.tried.add(from)
 	if service, ok := chooseService(route, p.Flow); ok && !f.tried.full() {
@@ -158,3 +172,14 @@
 	}
 	b.endAttempt(now, p, f, reason)
 }
+
+// refuseLate resets a flow for whose last copy no upstream was left, once the last agent
+// that may hold it has returned its first packet.
+func (b *Balancer) refuseLate(now hickorymodel.Instant, p *Packet, f *flow, reason Reason) {
+	if !f.refused || !f.owner.IsZero() || !f.unheld() || now.Before(b.staleUntil) {
+		return
+	}
+	f.refused = false
+	b.recordDecision(&Decision{Step: StepRefused, Flow: p.Flow, Copy: p.Copy, Reason: reason})
+	b.sendReset(p)
+}
--- a/core/hickorysteering/open_test.go
+++ b/core/hickorysteering/open_test.go
@@ -107,8 +107,54 @@
 		f.is.Equal(next, []hickorymodel.Endpoint{agent(1)})
 		last := f.balancer.HandleReturn(f.now, agent(1), hickorysteering.ReasonFull, first(copies))
 		f.is.Equal(len(targets(last)), 0)
-		f.is.Equal(resets(last) == 1, copies == 2)
+		f.is.Equal(resets(last), 0)
+		if copies > 0 { // agent(0) may still hold the flow until it returns its packet
+			last = f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonFull, first(0))
+			f.is.Equal(resets(last) == 1, copies == 2)
+			f.is.Equal(resets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonFull, first(0))), 0)
+		}
+	}
+}
+
+// TestRefusalNeedsProof guards against the reset of a flow that opens at an upstream
+// which has got an earlier copy of its first packet and answers late.
+func TestRefusalNeedsProof(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(f *fixture)
+		resets  int
+	}{
+		{"no agent has got a copy", func(f *fixture) {
+			f.balancer.Handle(f.now, first(0))
+			f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonFull, first(0))
+		}, 1},
+		{"an agent has not returned the first copy", func(f *fixture) { f.balancer.Handle(f.now, first(0)) }, 0},
+		{"another balancer has handled the first copy", func(f *fixture) {
+			f.balancer.Handle(f.now, first(1))
+			f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonFull, first(1))
+		}, 0},
+		{"an agent has got the first copy twice and returned it once", func(f *fixture) {
+			f.balancer.Handle(f.now, first(0))
+			f.balancer.Handle(f.now, first(0))
+			f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonFull, first(0))
+		}, 0},
 	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, "a")
+			c.prepare(f)
+			f.view.Upstreams[0].Accepting = false
+			f.balancer.SetView(f.now, f.view)
+			f.now = f.now.Add(600 * time.Millisecond)
+			f.is.Equal(resets(f.balancer.Handle(f.now, first(2))), c.resets)
+		})
+	}
+	t.Run("the route is gone, and another balancer may have known it", func(t *testing.T) {
+		f := newFixture(t, "a")
+		f.balancer.SetView(f.now, &hickorydirectory.View{StateComplete: true})
+		f.is.Equal(resets(f.balancer.Handle(f.now, first(1))), 0)
+		f.is.Equal(resets(f.balancer.Handle(f.now, first(0))), 1)
+	})
 }
 
 // TestLateReturnIsIgnored guards against a flow that moves to another upstream
