Confirm the published state by answers of the store only

Cause: confirmedUntil took a watch that had been pending for 0.3 s as proof that nothing had changed until then. The store may not have received the watch, or its connection may be silent, which shows after 1.2 s only. An upstream that other balancers already use may be unknown in that time.

Change: only answers count. A balancer that watches and needs a confirmation sends its next watch with the shortest wait.

Ruled out: ending the pending watch, which costs a call and a connection each time; one balancer watches for the fleet, so only its searches wait, for 0.5 s at most.

Tests: TestFollowerConfirmedUntil demanded the conclusion ("watch has been pending"); it now demands that a pending watch changes nothing.

--- a/core/hickorysteering/absence_test.go
+++ b/core/hickorysteering/absence_test.go
@@ -130,7 +130,7 @@
 // of a search.
 func TestAbsenceAtTargetSize(t *testing.T) {
 	f := newFixture(t)
-	confirmed := func(now hickorymodel.Instant) hickorymodel.Instant { return now }
+	confirmed := func() hickorymodel.Instant { return f.now }
 	f.balancer = hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)), func(*hickorysteering.Decision) {}, confirmed)
 	view := targetView()
 	f.balancer.SetView(f.now, view)
--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -53,7 +53,7 @@
 	onDecision func(*Decision)
 	// confirmedUntil returns a time up to which all published changes have been
 	// read. It may be earlier than the Confirmed time of the view.
-	confirmedUntil func(now hickorymodel.Instant) hickorymodel.Instant
+	confirmedUntil func() hickorymodel.Instant
 
 	view  *hickorydirectory.View
 	peers map[hickorymodel.Endpoint]*peer
@@ -90,7 +90,7 @@
 // NewBalancer returns a balancer without a view. OnDecision is called with each
 // decision. ConfirmedUntil returns a time up to which all published changes have
 // been read.
-func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, onDecision func(*Decision), confirmedUntil func(now hickorymodel.Instant) hickorymodel.Instant) *Balancer {
+func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, onDecision func(*Decision), confirmedUntil func() hickorymodel.Instant) *Balancer {
 	return &Balancer{
 		zone:           zone,
 		agentPort:      agentPort,
--- a/core/hickorysteering/fixture_test.go
+++ b/core/hickorysteering/fixture_test.go
@@ -44,7 +44,7 @@
 	f := &fixture{is: is.New(t), now: start}
 	f.balancer = hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)), func(d *hickorysteering.Decision) {
 		f.decisions = append(f.decisions, *d)
-	}, func(hickorymodel.Instant) hickorymodel.Instant { return f.confirmed })
+	}, func() hickorymodel.Instant { return f.confirmed })
 	f.view = &hickorydirectory.View{
 		Version:       1,
 		StateComplete: true,
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -259,7 +259,7 @@
 	if !s.exhausted || now.Before(b.staleUntil) || !b.view.StateComplete {
 		return
 	}
-	if max(b.view.Confirmed, b.confirmedUntil(now)).Before(s.startedAt) {
+	if max(b.view.Confirmed, b.confirmedUntil()).Before(s.startedAt) {
 		b.requestConfirmation(now)
 		return
 	}
--- a/core/hickorysteering/size_bench_test.go
+++ b/core/hickorysteering/size_bench_test.go
@@ -38,7 +38,7 @@
 
 func targetBalancer() *hickorysteering.Balancer {
 	balancer := hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)),
-		func(*hickorysteering.Decision) {}, func(now hickorymodel.Instant) hickorymodel.Instant { return now })
+		func(*hickorysteering.Decision) {}, func() hickorymodel.Instant { return start })
 	balancer.SetView(start, targetView())
 	return balancer
 }
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -178,7 +178,7 @@
 	return nil
 }
 
-func (b *Balancer) newDecider(confirmedUntil func(hickorymodel.Instant) hickorymodel.Instant) *balancerDecider {
+func (b *Balancer) newDecider(confirmedUntil func() hickorymodel.Instant) *balancerDecider {
 	d := &balancerDecider{
 		clock:         b.clock,
 		translation:   b.translation,
--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -74,11 +74,9 @@
 
 	clock *hickoryclock.Clock
 	// appliedUntil is the hickorymodel.Instant before which all published changes are
-	// applied: when the last call was sent whose answer changed nothing. watchSentAt
-	// is when the pending watch was sent. 0 stands for none. Other duties read and
-	// write appliedUntil and read watchSentAt.
+	// applied: when the last call was sent whose answer changed nothing. 0 stands for
+	// none. Other duties read and write it.
 	appliedUntil atomic.Int64
-	watchSentAt  atomic.Int64
 	// reading is true while the store is to be watched, and knownThrough is the
 	// revision up to which the directory has all changes. The directoryUpdater writes
 	// both.
@@ -160,8 +158,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	f.watchSentAt.Store(int64(f.clock.Now()))
-	defer f.watchSentAt.Store(0)
 	return f.store.Watch(ctx, f.through, wait)
 }
 
@@ -173,12 +169,16 @@
 	if !f.reading.Load() {
 		wait = max(wait, minCallPause)
 	}
-	if !answered || wait <= minCallPause {
-		return sleep(ctx, wait)
-	}
-	if err := sleep(ctx, minCallPause); err != nil {
+	if err := sleep(ctx, min(wait, minCallPause)); err != nil {
 		return err
 	}
+	if !answered {
+		return sleep(ctx, wait-minCallPause)
+	}
+	if wait <= minCallPause {
+		f.confirming = f.takeConfirmRequest()
+		return nil
+	}
 	timer := time.NewTimer(wait - minCallPause)
 	defer timer.Stop()
 	select {
@@ -191,21 +191,26 @@
 	return nil
 }
 
+// takeConfirmRequest reports whether a confirmation was requested, without waiting.
+func (f *storeFollower) takeConfirmRequest() bool {
+	select {
+	case <-f.confirmRequests.Items():
+		return true
+	default:
+		return false
+	}
+}
+
 // recordApplied records that all changes published before sentAt are applied.
 func (f *storeFollower) recordApplied(sentAt hickorymodel.Instant) {
 	f.appliedUntil.Store(int64(sentAt))
 }
 
 // confirmedUntil returns the time up to which all published changes are applied. A
-// watch that has been pending for longer than maxAnswerTime shows that there was no
-// change up to maxAnswerTime ago, since the store would have answered it.
-func (f *storeFollower) confirmedUntil(now hickorymodel.Instant) hickorymodel.Instant {
-	confirmedUntil := hickorymodel.Instant(f.appliedUntil.Load())
-	sentAt := hickorymodel.Instant(f.watchSentAt.Load())
-	if sentAt != 0 && now.Sub(sentAt) >= maxAnswerTime {
-		confirmedUntil = max(confirmedUntil, now.Add(-maxAnswerTime))
-	}
-	return confirmedUntil
+// watch without an answer tells nothing, however long it is pending: the store may not
+// have received it, and its connection may be silent.
+func (f *storeFollower) confirmedUntil() hickorymodel.Instant {
+	return hickorymodel.Instant(f.appliedUntil.Load())
 }
 
 // recordOutcome records the outcome of a call and returns the pause before the next
--- a/io/hickoryfabric/store_follower_test.go
+++ b/io/hickoryfabric/store_follower_test.go
@@ -100,27 +100,34 @@
 }
 
 // TestFollowerConfirmedUntil guards against changes that count as read between two
-// calls, or while the store may still be answering a watch.
+// calls, or while a watch is pending: the store may not have received it, and a flow was
+// reset whose upstream had just been published.
 func TestFollowerConfirmedUntil(t *testing.T) {
-	cases := []struct {
-		name              string
-		answered, watched hickorymodel.Instant
-		want              hickorymodel.Instant
-	}{
-		{"never", 0, 0, 0},
-		{"pause after an answer", 5, 0, 5},
-		{"watch has just begun", 5, hickorymodel.Instant(9900 * time.Millisecond), 5},
-		{"watch has been pending", 5, hickorymodel.Instant(9 * time.Second), hickorymodel.Instant(9700 * time.Millisecond)},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			f := testFollower(Store{})
-			f.appliedUntil.Store(int64(c.answered))
-			f.watchSentAt.Store(int64(c.watched))
-			is.Equal(f.confirmedUntil(hickorymodel.Instant(10*time.Second)), c.want)
-		})
-	}
+	is := is.New(t)
+	is.Equal(testFollower(Store{}).confirmedUntil(), hickorymodel.Instant(0))
+	var f *storeFollower
+	f = testFollower(Store{Watch: func(context.Context, hickorydirectory.Revision, time.Duration) (*hickorydirectory.Batch, error) {
+		is.Equal(f.confirmedUntil(), hickorymodel.Instant(5))
+		return &hickorydirectory.Batch{}, nil
+	}})
+	f.listed = true
+	f.recordApplied(5)
+	_, err := f.callStore(t.Context())
+	is.NoErr(err)
+	is.Equal(f.confirmedUntil(), hickorymodel.Instant(5)) // run records the answer
+}
+
+// TestReaderConfirmsAfterWatch guards against a search that waits for a second watch of
+// full length, because the confirmation was requested while the first was pending.
+func TestReaderConfirmsAfterWatch(t *testing.T) {
+	is := is.New(t)
+	f := testFollower(Store{})
+	f.reading.Store(true)
+	f.confirmRequests.Put()
+	is.NoErr(f.waitForNextCall(t.Context(), 0, true))
+	is.True(f.confirming)
+	is.NoErr(f.waitForNextCall(t.Context(), 0, true))
+	is.True(!f.confirming) // one call for a request
 }
 
 // TestFollowerConfirmsOnDemand guards against lost flows whose search ends late: the
