Probe for a version without a route with new flows

TestBalancerFollowsAnother took 21 s since (3 s for the package before): it sent the same first packet until it was refused, and the first of them is routed by the version before, so an upstream holds the flow and it may not be refused. The test now begins a new flow with each packet; what it demands of the two balancers does not change.

--- a/io/hickoryfabric/flow_test.go
+++ b/io/hickoryfabric/flow_test.go
@@ -108,9 +108,11 @@
 		}
 	}
 	f.store.publishChange(hickorydirectory.Change{Table: &hickorymessage.RouteTable{Version: 2, IdleTimeout: "15s", Services: []hickorymessage.RoutedService{}, Routes: []hickorymessage.Route{}}})
+	sequence := uint32(100)
 	for _, ip := range []string{balancerIP, otherBalancerIP} {
 		for refused := false; !refused; { // by the version without a route
-			f.send(ip, packet(flagFirst, 100, 0))
+			sequence++ // a new flow: an upstream may hold one that was routed before
+			f.send(ip, packet(flagFirst, sequence, 0))
 			refused = f.receivesReset()
 		}
 	}
