Send packets of the shortest search first, by a share of the link

Cost of the proof after a power failure: no agent can deny a flow for 25 s, so each lost flow takes a packet to each agent, within 200 KB a second for each balancer. All searches shared the budget evenly and ended late together.

Change: a balancer gives the budget to the search with the fewest bytes left. Agents that have just answered "unknown" get the packet without a further query, and stragglers are not asked again while packets wait. The budget is 16% of the link, which the platform names in the settings (linkMbps), between 200 KB and 1 MB a second.

Ruled out: 600 KB a second for all.

--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -76,6 +76,8 @@
 	needsConfirmation bool
 	// confirmationRequestedAt is when needsConfirmation was last set.
 	confirmationRequestedAt hickorymodel.Instant
+	// packetsPending is true while a search may have agents left that get its packet.
+	packetsPending bool
 	// searchBudget bounds the bytes of packets that searches send.
 	searchBudget byteBudget
 	// lastFrameAt is when a frame of any agent last arrived.
@@ -87,11 +89,22 @@
 	actions    []Action
 }
 
+// BalancerOption sets an option of a balancer at construction.
+type BalancerOption func(*Balancer)
+
+// WithLink sets the bandwidth of the balancer's link in megabits per second, of which
+// searches use a share.
+func WithLink(mbps float64) BalancerOption {
+	return func(b *Balancer) {
+		b.searchBudget.rate = searchRate(mbps)
+	}
+}
+
 // NewBalancer returns a balancer without a view. OnDecision is called with each
 // decision. ConfirmedUntil returns a time up to which all published changes have
 // been read.
-func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, onDecision func(*Decision), confirmedUntil func() hickorymodel.Instant) *Balancer {
-	return &Balancer{
+func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, onDecision func(*Decision), confirmedUntil func() hickorymodel.Instant, options ...BalancerOption) *Balancer {
+	b := &Balancer{
 		zone:           zone,
 		agentPort:      agentPort,
 		random:         random,
@@ -103,7 +116,12 @@
 		flows:          map[hickorymodel.FlowKey]*flow{},
 		searches:       map[hickorymodel.FlowKey]*search{},
 		queries:        map[hickorymodel.Endpoint][]hickoryframe.Notice{},
+		searchBudget:   byteBudget{rate: minSearchRate},
+	}
+	for _, option := range options {
+		option(b)
 	}
+	return b
 }
 
 // SetView replaces the view of the published state that decisions are based on.
@@ -324,10 +342,10 @@
 	return listed > 0 && noFrames && silent >= min(minSilentAgents, listed)
 }
 
-// Searching reports whether a search has more agents to ask or queries wait to be
-// sent.
+// Searching reports whether a search has more agents to ask, or queries or packets wait
+// to be sent.
 func (b *Balancer) Searching() bool {
-	return b.searchesWithRounds > 0 || len(b.queries) > 0
+	return b.searchesWithRounds > 0 || len(b.queries) > 0 || b.packetsPending
 }
 
 // NeedsConfirmation reports whether, since the last call, a search could have ended
--- a/core/hickorysteering/peer.go
+++ b/core/hickorysteering/peer.go
@@ -54,6 +54,9 @@
 	awaitingAnswerSince hickorymodel.Instant
 	// silent is true once awaitingAnswerSince is more than silenceLimit ago.
 	silent bool
+	// unknownAt is when the agent last answered a query with ReasonUnknown; 0 for
+	// never.
+	unknownAt hickorymodel.Instant
 	// ended is what agentEnded last reported in a tick.
 	ended bool
 	// firstPacketUnansweredAt is when a first packet was last sent to another agent
--- a/core/hickorysteering/query.go
+++ b/core/hickorysteering/query.go
@@ -1,6 +1,8 @@
 package hickorysteering
 
 import (
+	"time"
+
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/schema/hickoryframe"
 )
@@ -10,6 +12,9 @@
 	// searches that run at the same time share frames: after a power failure each
 	// balancer searches for hundreds of flows at all agents.
 	queryInterval = SearchTickInterval
+	// unknownLife is how long an agent is not queried after it has answered
+	// ReasonUnknown, which is most often for lack of time since its start.
+	unknownLife = 2 * time.Second
 	// maxQueryFlows bounds the flows of one query frame. The answer frame then
 	// stays below 1,200 bytes, the payload of one packet.
 	maxQueryFlows = 80
@@ -21,9 +26,15 @@
 
 // queueQueries adds the flow of a search to the next queries to agents. A query
 // names the flow by its key, which takes a fraction of the bytes of a packet of the
-// flow and causes no work at upstreams.
-func (b *Balancer) queueQueries(s *search, agents []hickorymodel.Endpoint) {
+// flow and causes no work at upstreams. Agents that have just answered
+// ReasonUnknown get the packet instead.
+func (b *Balancer) queueQueries(now hickorymodel.Instant, s *search, agents []hickorymodel.Endpoint) {
 	for _, endpoint := range agents {
+		if unknownAt := b.peer(endpoint).unknownAt; unknownAt != 0 && now.Sub(unknownAt) < unknownLife {
+			b.addUncertain(s, endpoint)
+			b.sendUnlessPending(now, s)
+			continue
+		}
 		s.framesSent++
 		b.queries[endpoint] = append(b.queries[endpoint], NoticeOf(s.packet.Flow))
 	}
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -1,6 +1,7 @@
 package hickorysteering
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -43,8 +44,8 @@
 	// awaiting are the agents that were asked and have not reported that they do
 	// not hold the flow.
 	awaiting []hickorymodel.Endpoint
-	// uncertain are the agents of awaiting that answered ReasonUnknown. They get
-	// the packet itself as soon as searchBudget allows it.
+	// uncertain are the agents of awaiting that answer ReasonUnknown to queries. They
+	// get the packet itself as soon as searchBudget allows it.
 	uncertain []hickorymodel.Endpoint
 	// remainingRounds are the agents that have not been asked yet, in the order of
 	// the rounds.
@@ -114,7 +115,7 @@
 		return
 	}
 	s.lastRepeatAt = now
-	b.queueQueries(s, s.awaiting)
+	b.queueQueries(now, s, s.awaiting)
 	for len(s.remainingRounds) > 0 {
 		b.startNextRound(now, s)
 	}
@@ -140,19 +141,66 @@
 		b.recordNotHeld(now, from, &s.packet)
 		return
 	}
-	if !slices.Contains(s.uncertain, from) {
-		s.uncertain = append(s.uncertain, from)
+	b.peer(from).unknownAt = now
+	b.addUncertain(s, from)
+	b.sendUnlessPending(now, s)
+}
+
+// sendUnlessPending sends the packet to uncertain agents at once, unless packets of
+// other searches wait.
+func (b *Balancer) sendUnlessPending(now hickorymodel.Instant, s *search) {
+	if !b.packetsPending {
+		b.packetsPending = !b.sendToUncertain(now, s)
+	}
+}
+
+// addUncertain adds an agent to those that get the packet itself.
+func (b *Balancer) addUncertain(s *search, endpoint hickorymodel.Endpoint) {
+	if !slices.Contains(s.uncertain, endpoint) {
+		s.uncertain = append(s.uncertain, endpoint)
 	}
-	b.sendToUncertain(now, s)
 }
 
-// sendToUncertain sends the packet to agents that answered ReasonUnknown, within
-// searchBudget.
-func (b *Balancer) sendToUncertain(now hickorymodel.Instant, s *search) {
-	for len(s.uncertain) > 0 && b.searchBudget.spend(now, len(s.packet.Bytes)) {
+// sendToUncertain sends the packet to agents that can't answer a query, within
+// searchBudget, and reports whether all of them have got it.
+func (b *Balancer) sendToUncertain(now hickorymodel.Instant, s *search) bool {
+	for len(s.uncertain) > 0 {
+		if !b.searchBudget.spend(now, len(s.packet.Bytes)) {
+			return false
+		}
 		b.sendSearchPacket(now, s, s.uncertain[:1])
 		s.uncertain = s.uncertain[1:]
 	}
+	return true
+}
+
+// pendingBytes returns the bytes of the packets that the search still has to send.
+func (s *search) pendingBytes() int {
+	return len(s.uncertain) * len(s.packet.Bytes)
+}
+
+// sendPendingPackets sends the packets of searches that wait for searchBudget. The
+// search with the fewest bytes left goes first and the oldest of equal ones, so that
+// most callers of lost flows get their reset early and not all with the last packet.
+func (b *Balancer) sendPendingPackets(now hickorymodel.Instant) {
+	if !b.packetsPending {
+		return
+	}
+	waiting := []*search{}
+	for _, s := range b.searches {
+		if len(s.uncertain) > 0 {
+			waiting = append(waiting, s)
+		}
+	}
+	slices.SortFunc(waiting, func(x, y *search) int {
+		return cmp.Or(cmp.Compare(x.pendingBytes(), y.pendingBytes()), cmp.Compare(x.startedAt, y.startedAt))
+	})
+	for _, s := range waiting {
+		if !b.sendToUncertain(now, s) {
+			return
+		}
+	}
+	b.packetsPending = false
 }
 
 // sendSearchPacket sends the packet itself to agents, whose upstreams return it if
@@ -183,7 +231,7 @@
 		b.sendSearchPacket(now, s, next)
 		return
 	}
-	b.queueQueries(s, next)
+	b.queueQueries(now, s, next)
 }
 
 func (b *Balancer) endSearch(key hickorymodel.FlowKey, s *search) {
@@ -248,7 +296,7 @@
 	s.included = append(s.included, others...)
 	s.awaiting = append(s.awaiting, others...)
 	s.exhausted = false
-	b.queueQueries(s, others)
+	b.queueQueries(now, s, others)
 }
 
 // resetIfUnowned resets a flow that no agent owns, once the balancer has read the
@@ -277,15 +325,15 @@
 }
 
 // advanceSearches starts the next round of searches that have waited for
-// roundInterval, asks the other agents after othersInterval, sends packets to agents
-// that answered ReasonUnknown, and tries to end exhausted searches.
+// roundInterval, asks the other agents after othersInterval, sends pending packets, and
+// tries to end exhausted searches.
 func (b *Balancer) advanceSearches(now hickorymodel.Instant) {
+	b.sendPendingPackets(now)
 	for _, s := range b.searches {
 		if s.exhausted {
 			b.resetIfUnowned(now, s)
 			continue
 		}
-		b.sendToUncertain(now, s)
 		if len(s.remainingRounds) > 0 && now.Sub(s.lastRoundAt) > roundInterval {
 			b.startNextRound(now, s)
 		}
@@ -296,12 +344,13 @@
 	}
 }
 
-// askStragglers asks the last agents that have not answered once more.
+// askStragglers asks the last agents that have not answered once more, unless packets
+// of other searches wait.
 func (b *Balancer) askStragglers(now hickorymodel.Instant, s *search) {
 	due := len(s.remainingRounds) == 0 && len(s.awaiting) <= maxStragglers && now.Sub(s.lastRoundAt) >= stragglerTime
-	if !due || s.stragglersAsked {
+	if !due || s.stragglersAsked || b.packetsPending {
 		return
 	}
 	s.stragglersAsked = true
-	b.queueQueries(s, s.awaiting)
+	b.queueQueries(now, s, s.awaiting)
 }
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -192,7 +192,8 @@
 		dataPort:      b.callerSocket.Endpoint().Port,
 	}
 	random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
-	d.steering = hickorysteering.NewBalancer(b.settings.Zone, b.callerSocket.Endpoint().Port, random, d.recorder.record, confirmedUntil)
+	d.steering = hickorysteering.NewBalancer(b.settings.Zone, b.callerSocket.Endpoint().Port, random, d.recorder.record, confirmedUntil,
+		hickorysteering.WithLink(b.settings.LinkMbps))
 	return d
 }
 
--- a/schema/hickorysettings/settings_generated.go
+++ b/schema/hickorysettings/settings_generated.go
@@ -349,6 +349,11 @@
 	// Instance corresponds to the JSON schema field "instance".
 	Instance hickoryid.InstanceID `json:"instance" yaml:"instance"`
 
+	// LinkMbps is the bandwidth of the balancer's network link in megabits per
+	// second; 0 stands for an unknown one. Searches for the owners of flows use a
+	// share of it.
+	LinkMbps float64 `json:"linkMbps,omitempty,omitzero" yaml:"linkMbps,omitempty"`
+
 	// MetricsEndpoint is the TCP socket on which Prometheus metrics are served;
 	// without it, no metrics are served.
 	MetricsEndpoint *hickoryid.Endpoint `json:"metricsEndpoint,omitempty,omitzero" yaml:"metricsEndpoint,omitempty"`
@@ -410,6 +415,12 @@
 	if v, ok := raw["drainTimeout"]; !ok || v == nil {
 		plain.DrainTimeout = "4s"
 	}
+	if v, ok := raw["linkMbps"]; !ok || v == nil {
+		plain.LinkMbps = 0.0
+	}
+	if 0 > plain.LinkMbps {
+		return fmt.Errorf("field %s: must be >= %v", "linkMbps", 0)
+	}
 	if len(plain.Seeds) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "seeds", 64)
 	}
