Ask agents again that are heard again, and search without likely agents

Cause: an agent without an entry that did not answer for 0.3 s left a search for good, also when it was only paused and answered later: silence decided. And a route that had moved to a service without upstreams had no agents to ask first, so no search began and its open flows were lost in silence.

Change: an ended agent leaves the search as if it had never been asked; a frame of it makes the searches look for agents again. A search for a routed address begins with all agents if no likely one is known.

--- a/core/hickorysteering/absence_test.go
+++ b/core/hickorysteering/absence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/core/hickorysteering"
 	"hickoryworks/schema/hickoryframe"
@@ -125,6 +126,37 @@
 	}
 }
 
+// TestAgentHeardAgainIsAsked guards against the reset of a flow whose agent has no entry
+// and was paused during the search: it counted as ended until its next frame.
+func TestAgentHeardAgainIsAsked(t *testing.T) {
+	f := newFixture(t, "a")
+	f.report(agent(8), hickorysteering.StateAccepting)
+	f.now = f.now.Add(500 * time.Millisecond) // the last confirmation is too old for a reset
+	f.balancer.Handle(f.now, data())
+	f.is.Equal(targets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())), []hickorymodel.Endpoint{agent(8)})
+	f.now = f.now.Add(400 * time.Millisecond)
+	f.balancer.Tick(f.now) // agent(8) has not answered
+	f.report(agent(8), hickorysteering.StateAccepting)
+	f.confirmed = f.now
+	actions := f.balancer.Tick(f.now)
+	f.is.Equal(resets(actions), 0)
+	f.is.Equal(targets(actions), []hickorymodel.Endpoint{agent(8)})
+}
+
+// TestServiceWithoutUpstreams guards against a flow that is not searched for at all,
+// because its route has moved to a service that has no upstreams.
+func TestServiceWithoutUpstreams(t *testing.T) {
+	f := newFixture(t, "a")
+	f.view.Routes[service].Targets[0].Service = hickorydirectory.HashService("empty")
+	f.balancer.SetView(f.now, f.view)
+	f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0)})
+	f.balancer.HandleNotice(f.now, agent(0), hickorysteering.ReasonOpen, flow)
+	f.is.Equal(f.lastStep(), hickorysteering.StepFound)
+	unrouted := data()
+	unrouted.Flow.Destination.Port++
+	f.is.Equal(len(targets(f.balancer.Handle(f.now, unrouted))), 0) // a dropped route has no flows
+}
+
 // TestAbsenceAtTargetSize guards against a search whose agents of other services are
 // asked one after the other: in a fleet of 14,000 upstreams it must end within the life
 // of a search.
--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -59,7 +59,8 @@
 	peers map[hickorymodel.Endpoint]*peer
 	// services has the listed peers of each service, in the order of the view.
 	services map[hickorydirectory.ServiceHash][]*peer
-	// peerChanges rises with each new peer and each view.
+	// peerChanges rises with each new peer, each view, and each frame of an agent that
+	// counted as ended.
 	peerChanges uint64
 	// flows has at most maxFlows entries.
 	flows    map[hickorymodel.FlowKey]*flow
@@ -221,9 +222,13 @@
 // recordFrame records that a frame of an agent has arrived.
 func (b *Balancer) recordFrame(now hickorymodel.Instant, from hickorymodel.Endpoint) *peer {
 	p := b.peer(from)
+	ended := p.agentEnded(now)
 	p.lastFrameAt = now
 	b.lastFrameAt = now
 	p.awaitingAnswerSince = 0
+	if ended {
+		b.peerChanges++ // searches have left it out
+	}
 	if p.silent {
 		p.silent = false
 		b.recordDecision(&Decision{Step: StepAgentHeard, Peer: from, Upstream: p.upstream.ID})
--- a/core/hickorysteering/query.go
+++ b/core/hickorysteering/query.go
@@ -18,9 +18,9 @@
 	// maxQueryFlows bounds the flows of one query frame. The answer frame then
 	// stays below 1,200 bytes, the payload of one packet.
 	maxQueryFlows = 80
-	// maxQueryFrames bounds the query frames of one send, so that they do not
-	// fill the ring of the sender; the rest follows with the next. A search that asks all agents of a
-	// fleet of 14,000 takes 0.35 s to do so.
+	// maxQueryFrames bounds the query frames of one send, so that they do not fill the
+	// ring of the sender; the rest follows with the next send. A search that asks all
+	// agents of a fleet of 14,000 takes 0.35 s to do so.
 	maxQueryFrames = 400
 )
 
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -97,15 +97,20 @@
 		return
 	}
 	remainingRounds := b.possibleOwners(now, p.Flow, except)
-	if len(remainingRounds) == 0 {
+	s = &search{remainingRounds: remainingRounds, startedAt: now, lastRepeatAt: now, packet: *p, included: append(slices.Concat(remainingRounds...), except)}
+	if len(remainingRounds) == 0 && b.view.Routes[p.Flow.Destination] != nil {
+		b.askOthers(now, s) // the route's services have no upstreams
+	}
+	if len(remainingRounds) == 0 && len(s.awaiting) == 0 {
 		b.recordDecision(&Decision{Step: StepUnknown, Flow: p.Flow})
 		return
 	}
-	s = &search{remainingRounds: remainingRounds, startedAt: now, lastRepeatAt: now, packet: *p, included: append(slices.Concat(remainingRounds...), except)}
 	b.searches[p.Flow] = s
-	b.searchesWithRounds++
 	b.recordDecision(&Decision{Step: StepSearched, Flow: p.Flow, Peer: except, Count: len(s.included) - 1})
-	b.startNextRound(now, s)
+	if len(remainingRounds) > 0 {
+		b.searchesWithRounds++
+		b.startNextRound(now, s)
+	}
 }
 
 // repeatQueries asks all agents again that have not answered within repeatInterval,
@@ -123,14 +128,26 @@
 }
 
 // dropEndedAgents removes agents that have ended with their upstreams from all
-// searches.
+// searches. An agent that is heard again later is asked again.
 func (b *Balancer) dropEndedAgents(now hickorymodel.Instant) {
 	for _, s := range b.searches {
-		s.awaiting = slices.DeleteFunc(s.awaiting, func(endpoint hickorymodel.Endpoint) bool { return b.peer(endpoint).agentEnded(now) })
+		for _, endpoint := range slices.Clone(s.awaiting) {
+			if b.peer(endpoint).agentEnded(now) {
+				s.drop(endpoint)
+			}
+		}
 		b.checkExhausted(now, s)
 	}
 }
 
+// drop removes an agent from the search, as if it had never been asked.
+func (s *search) drop(endpoint hickorymodel.Endpoint) {
+	isDropped := func(other hickorymodel.Endpoint) bool { return other == endpoint }
+	s.awaiting = slices.DeleteFunc(s.awaiting, isDropped)
+	s.uncertain = slices.DeleteFunc(s.uncertain, isDropped)
+	s.included = slices.DeleteFunc(s.included, isDropped)
+}
+
 // handleNoOwner handles an answer with ReasonNotHeld or ReasonUnknown.
 func (b *Balancer) handleNoOwner(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, key hickorymodel.FlowKey) {
 	s, running := b.searches[key]
