Reset nothing before a new directory knows the upstreams of an outage

Cause: a balancer that has just started took its first listing for complete. An upstream whose entry expired while the store was away is back within two seconds of the store's return, as the platform's pages say; until then the balancer did not know it, unless another balancer told it, and could reset the flows that it holds.

Change: a directory is settled 2.5 s after its first answer of the store, or with the whole state of a balancer whose directory is settled, which the reply to a state request says. A flow that nobody holds is reset only after that.

Ruled out: looking for expired entries in the store's history, which names keys without addresses and has removals after each power failure anyway. Waiting only while the store was seen to fail: a new balancer has not seen it.

After a power failure callers of lost flows wait 2.5 s.

--- a/core/hickorydirectory/apply.go
+++ b/core/hickorydirectory/apply.go
@@ -10,11 +10,18 @@
 
 // Apply applies an answer of the store and reports whether the view has changed.
 func (d *Directory) Apply(now hickorymodel.Instant, batch *Batch) bool {
+	before := d.changeCount
 	if d.storeLost {
 		d.storeLost = false
 		d.storeRestoredAt = now
 	}
-	return d.apply(now, batch)
+	if d.settledAt == 0 {
+		// The store may have become available just now.
+		d.settledAt = now.Add(expiryGrace)
+		d.changeCount++
+	}
+	d.apply(now, batch)
+	return d.changeCount != before
 }
 
 // apply applies changes, from the store or from another balancer.
--- a/core/hickorydirectory/directory.go
+++ b/core/hickorydirectory/directory.go
@@ -40,6 +40,10 @@
 	// storeRestoredAt is when the store last answered again after a failure; 0 if
 	// it has never failed.
 	storeRestoredAt hickorymodel.Instant
+	// settledAt is the time from which an upstream without an entry is known to have
+	// ended; 0 while that is not known. A directory that has just been created does not
+	// have the entries that expired before while the store was not available.
+	settledAt hickorymodel.Instant
 	// hasList is true once the store or another balancer has sent a complete
 	// listing.
 	hasList bool
@@ -61,6 +65,22 @@
 	return d.hasList && d.table != nil
 }
 
+// Settled reports whether the directory has all upstreams that may run.
+func (d *Directory) Settled(now hickorymodel.Instant) bool {
+	return d.settledAt != 0 && !now.Before(d.settledAt)
+}
+
+// Settle records that the directory has the whole state of another balancer whose
+// directory is settled, and reports whether the view has changed.
+func (d *Directory) Settle(now hickorymodel.Instant) bool {
+	if d.Settled(now) {
+		return false
+	}
+	d.settledAt = now
+	d.changeCount++
+	return true
+}
+
 // Version returns the version of the configuration, or 0.
 func (d *Directory) Version() int {
 	if d.table == nil {
--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -392,3 +392,26 @@
 	}
 	return fmt.Sprint(d.Version(), accepting(d.View(start, wall)))
 }
+
+// TestNewDirectorySettles guards against open flows that are reset by a balancer which
+// has just started: it does not know upstreams whose entries expired while the store was
+// not available, and which renew them within two seconds of its return.
+func TestNewDirectorySettles(t *testing.T) {
+	is := is.New(t)
+	d := hickorydirectory.New()
+	is.True(!d.Settled(start.Add(time.Hour)))
+	is.True(d.View(start, wall).SettledAt > start.Add(time.Hour)) // the store has not answered
+	d.Apply(start, listing(5, table(1)))
+	is.True(!d.Settled(start.Add(2400 * time.Millisecond)))
+	is.True(d.Settled(start.Add(2500 * time.Millisecond)))
+	is.Equal(d.View(start, wall).SettledAt, start.Add(2500*time.Millisecond))
+	d.Apply(start.Add(time.Minute), changes(6))
+	is.True(d.Settled(start.Add(time.Minute))) // once only
+
+	follower := hickorydirectory.New()
+	follower.Merge(start, d.Export(start))
+	is.True(!follower.Settled(start.Add(time.Hour))) // the other one may have just started as well
+	is.True(follower.Settle(start))
+	is.True(!follower.Settle(start))
+	is.Equal(follower.View(start, wall).SettledAt, start)
+}
--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -1,7 +1,9 @@
 package hickorydirectory
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -32,6 +34,9 @@
 	// Confirmed is the time up to which the view has all published changes; 0 while
 	// the store has not answered.
 	Confirmed hickorymodel.Instant
+	// SettledAt is the time from which Upstreams has all upstreams that may run. Before,
+	// entries may be missing that expired while the store was not available.
+	SettledAt hickorymodel.Instant
 	// IdleTimeout is the time without packets after which a flow may be dropped
 	// from caches.
 	IdleTimeout time.Duration
@@ -88,6 +93,9 @@
 	Revision Revision
 }
 
+// NeverSettled is the SettledAt of a view before the first answer of the store.
+const NeverSettled = hickorymodel.Instant(math.MaxInt64)
+
 // maxClockError is the largest difference between the clocks of two machines with
 // which published starts are compared: clocks were seen to be 40 minutes off.
 const maxClockError = time.Hour
@@ -95,6 +103,7 @@
 // View returns the state as of now; wall is the same time by the system clock.
 func (d *Directory) View(now hickorymodel.Instant, wall hickorymodel.WallTime) *View {
 	view := &View{Version: d.Version(), StateComplete: d.StateComplete(), Routes: map[hickorymodel.SocketAddress]*Route{}}
+	view.SettledAt = cmp.Or(d.settledAt, NeverSettled)
 	services := map[hickoryid.ServiceName]hickorymessage.RoutedService{}
 	if d.table != nil {
 		view.IdleTimeout = d.table.IdleTimeout.Value()
--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/core/hickorymodel"
 )
 
@@ -318,16 +319,24 @@
 
 // resetIfUnowned resets a flow that no agent owns, once the balancer has read the
 // entries of all upstreams at which the flow may have been opened: those that were
-// published before the search began.
+// published before the search began, and those that may have expired while the store was
+// not available.
 func (b *Balancer) resetIfUnowned(now hickorymodel.Instant, s *search) {
 	b.askOthers(now, s)
 	if !s.exhausted || now.Before(b.staleUntil) || !b.view.StateComplete {
 		return
 	}
+	settledAt := b.view.SettledAt
+	if now.Before(settledAt) && settledAt != hickorydirectory.NeverSettled {
+		return // a later confirmation serves all searches until then
+	}
 	if max(b.view.Confirmed, b.confirmedUntil()).Before(s.startedAt) {
 		b.requestConfirmation(now)
 		return
 	}
+	if now.Before(settledAt) {
+		return
+	}
 	b.endLostFlow(hickorymodel.Endpoint{}, ReasonNotHeld, &s.packet)
 }
 
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -78,6 +78,9 @@
 			f.confirmed = f.now
 		}, true},
 		{"an upstream may be listed whose entry has not been read", func(f *fixture) { f.now = f.now.Add(time.Millisecond) }, false},
+		{"entries may have expired before the balancer started", func(f *fixture) {
+			f.view.SettledAt = f.now.Add(time.Millisecond)
+		}, false},
 		{"the process was paused", func(f *fixture) { f.balancer.Resumed(f.now) }, false},
 		{"the view is not complete", func(f *fixture) {
 			f.view.StateComplete = false
@@ -532,6 +535,31 @@
 	f.is.Equal(resets(f.balancer.Tick(f.now)), 1)
 }
 
+// TestSearchWaitsForSettledView guards against a search that never ends because nobody
+// asks the store, and against a call to the store for each search while entries may still
+// come back.
+func TestSearchWaitsForSettledView(t *testing.T) {
+	f := newFixture(t, "a")
+	f.now = f.now.Add(500 * time.Millisecond)
+	f.view.SettledAt = hickorydirectory.NeverSettled
+	f.balancer.Handle(f.now, data())
+	f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
+	f.is.True(f.balancer.NeedsConfirmation()) // the first answer of the store sets SettledAt
+	f.confirmed = f.now
+	f.view.SettledAt = f.now.Add(2500 * time.Millisecond)
+	sent, confirmations := 0, 0
+	for sent == 0 && f.now.Before(f.view.SettledAt.Add(time.Second)) {
+		f.now = f.now.Add(100 * time.Millisecond)
+		sent += resets(f.balancer.Tick(f.now))
+		if f.balancer.NeedsConfirmation() {
+			confirmations++
+		}
+		f.is.True(sent == 0 || !f.now.Before(f.view.SettledAt))
+	}
+	f.is.Equal(sent, 1)
+	f.is.Equal(confirmations, 0)
+}
+
 // TestGoneUpstreamEndsSearch guards against searches for lost flows that wait for
 // an agent which has ended with its upstream: after a power failure searches waited
 // for five agents without end. It also guards against flows that are reset because
--- a/io/hickoryfabric/directory_updater.go
+++ b/io/hickoryfabric/directory_updater.go
@@ -219,7 +219,7 @@
 			zone = *call.Request.Zone
 		}
 		u.peers.RecordContact(now, call.Request.Sender, zone)
-		reply := hickorymessage.StateReply{Peers: []hickoryid.Endpoint{}, Members: u.peers.Members(now)}
+		reply := hickorymessage.StateReply{Peers: []hickoryid.Endpoint{}, Members: u.peers.Members(now), Settled: u.directory.Settled(now)}
 		if call.Request.Digest != u.directory.Digest() {
 			reply.State = u.directory.Export(now)
 		}
@@ -227,7 +227,10 @@
 	case call.Answer != nil:
 		u.peers.RecordContact(now, call.Peer, "")
 		u.peers.AddMembers(now, call.Answer.Members)
-		if call.Answer.State != nil && u.directory.Merge(now, call.Answer.State) {
+		// The state is whole, or the digest has shown that this directory has it.
+		changed := call.Answer.State != nil && u.directory.Merge(now, call.Answer.State)
+		changed = (call.Answer.Settled && u.directory.StateComplete() && u.directory.Settle(now)) || changed
+		if changed {
 			u.publish(string(call.Peer))
 		}
 	case call.Seeds != nil:
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -533,6 +533,10 @@
 	// leave it empty.
 	Peers []hickoryid.Endpoint `json:"peers" yaml:"peers"`
 
+	// Settled is true when the sender knows all upstreams that may run, also those
+	// whose entries expired while the store was not available and are not back yet.
+	Settled bool `json:"settled,omitempty,omitzero" yaml:"settled,omitempty"`
+
 	// State corresponds to the JSON schema field "state".
 	State *DirectoryState `json:"state,omitempty,omitzero" yaml:"state,omitempty"`
 }
@@ -557,6 +561,9 @@
 	if len(plain.Peers) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "peers", 64)
 	}
+	if v, ok := raw["settled"]; !ok || v == nil {
+		plain.Settled = false
+	}
 	*j = StateReply(plain)
 	return nil
 }
