--- a/core/hickorysteering/flow.go
+++ b/core/hickorysteering/flow.go
@@ -63,15 +63,13 @@
 	sequence uint32
 	// copies is the highest copy number of the first packet that was sent on.
 	copies uint32
-	// firstAt is when this balancer handled the first packet, or the first of its
-	// copies.
-	firstAt hickorymodel.Instant
-	tried   triedList
+	tried  triedList
 	// unreturned holds the agents that got the first packet and have not returned it.
 	// The flow may open at the upstream of each.
 	unreturned triedList
 	// complete is true if unreturned has all such agents: this balancer has handled
-	// the first packet and its copies from the first one on.
+	// the first packet and each copy up to copies. Another one may have sent a copy
+	// that is missing to an agent.
 	complete bool
 	// refused is true once no upstream was left for the last copy.
 	refused bool
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -1,20 +1,12 @@
 package hickorysteering
 
 import (
-	"time"
-
 	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/core/hickorymodel"
 )
 
-const (
-	// lastCopy is the number of the last copy that callers send of a first packet.
-	lastCopy = 2
-	// minCopyDelay is below the 400 ms between the last two copies that a caller
-	// sends. Copies that are handled at shorter intervals have been queued, and the
-	// flow may have been opened meanwhile.
-	minCopyDelay = 350 * time.Millisecond
-)
+// lastCopy is the number of the last copy that callers send of a first packet.
+const lastCopy = 2
 
 // Handle decides on a packet of a caller.
 func (b *Balancer) Handle(now hickorymodel.Instant, p *Packet) []Action {
@@ -50,8 +42,9 @@
 		if f = b.flow(now, p.Flow); f == nil {
 			f = &flow{}
 		}
-		*f = flow{sequence: p.Sequence, seenAt: now, firstAt: now, complete: p.Copy == 0}
+		*f = flow{sequence: p.Sequence, seenAt: now, complete: p.Copy == 0}
 	}
+	f.complete = f.complete && p.Copy <= f.copies+1
 	f.copies = p.Copy
 	b.assign(now, p, route, f, StepOpened)
 }
@@ -121,8 +114,7 @@
 func (b *Balancer) endAttempt(now hickorymodel.Instant, p *Packet, f *flow, reason Reason) {
 	f.tried = triedList{}
 	f.owner = hickorymodel.Endpoint{}
-	late := now.Before(b.staleUntil) || now.Sub(f.firstAt) < minCopyDelay
-	f.refused = p.Copy >= lastCopy && !late
+	f.refused = p.Copy >= lastCopy && !now.Before(b.staleUntil)
 	if !f.refused || !f.unheld() {
 		b.recordDecision(&Decision{Step: StepWaited, Flow: p.Flow, Copy: p.Copy, Reason: reason})
 		return
@@ -160,8 +152,7 @@
 			f = &flow{}
 		}
 		f.sequence = p.Sequence
-		f.copies = p.Copy
-		f.firstAt = now // complete stays false: the cache may have lost the flow
+		f.copies = p.Copy // complete stays false: the cache may have lost the flow
 	}
 	f.tried.add(from)
 	if service, ok := chooseService(route, p.Flow); ok && !f.tried.full() {
