Split the search by its parts

The proof that no upstream holds a flow is absence.go now, the packets that searches send search_packet.go; functions and constants move, no line of them changes.

--- a/core/hickorysteering/search.go
+++ b/core/hickorysteering/search.go
@@ -1,11 +1,9 @@
 package hickorysteering
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/core/hickorymodel"
 )
 
@@ -29,9 +27,6 @@
 	// unless the agents of its rounds have all answered before. Nearly all searches
 	// find the owner sooner.
 	othersInterval = 100 * time.Millisecond
-	// confirmInterval is the shortest time between two requests to confirm the
-	// published state. One confirmation serves all searches that began before it.
-	confirmInterval = 100 * time.Millisecond
 	// exhaustedTime is how long after its start a search in which no agent has
 	// reported to own the flow keeps later packets from starting a new one.
 	exhaustedTime = 1500 * time.Millisecond
@@ -128,27 +123,6 @@
 	b.askOthers(now, s)
 }
 
-// dropEndedAgents removes agents that have ended with their upstreams from all
-// searches. An agent that is heard again later is asked again.
-func (b *Balancer) dropEndedAgents(now hickorymodel.Instant) {
-	for _, s := range b.searches {
-		for _, endpoint := range slices.Clone(s.awaiting) {
-			if b.peer(endpoint).agentEnded(now) {
-				s.drop(endpoint)
-			}
-		}
-		b.checkExhausted(now, s)
-	}
-}
-
-// drop removes an agent from the search, as if it had never been asked.
-func (s *search) drop(endpoint hickorymodel.Endpoint) {
-	isDropped := func(other hickorymodel.Endpoint) bool { return other == endpoint }
-	s.awaiting = slices.DeleteFunc(s.awaiting, isDropped)
-	s.uncertain = slices.DeleteFunc(s.uncertain, isDropped)
-	s.included = slices.DeleteFunc(s.included, isDropped)
-}
-
 // handleNoOwner handles an answer with ReasonNotHeld or ReasonUnknown.
 func (b *Balancer) handleNoOwner(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, key hickorymodel.FlowKey) {
 	s, running := b.searches[key]
@@ -164,74 +138,6 @@
 	b.sendUnlessPending(now, s)
 }
 
-// sendUnlessPending sends the packet to uncertain agents at once, unless packets of
-// other searches wait.
-func (b *Balancer) sendUnlessPending(now hickorymodel.Instant, s *search) {
-	if !b.packetsPending {
-		b.packetsPending = !b.sendToUncertain(now, s)
-	}
-}
-
-// addUncertain adds an agent to those that get the packet itself.
-func (b *Balancer) addUncertain(s *search, endpoint hickorymodel.Endpoint) {
-	if !slices.Contains(s.uncertain, endpoint) {
-		s.uncertain = append(s.uncertain, endpoint)
-	}
-}
-
-// sendToUncertain sends the packet to agents that can't answer a query, within
-// searchBudget, and reports whether all of them have got it.
-func (b *Balancer) sendToUncertain(now hickorymodel.Instant, s *search) bool {
-	for len(s.uncertain) > 0 {
-		if !b.searchBudget.spend(now, len(s.packet.Bytes)) {
-			return false
-		}
-		b.sendSearchPacket(now, s, s.uncertain[:1])
-		s.uncertain = s.uncertain[1:]
-	}
-	return true
-}
-
-// pendingBytes returns the bytes of the packets that the search still has to send.
-func (s *search) pendingBytes() int {
-	return len(s.uncertain) * len(s.packet.Bytes)
-}
-
-// sendPendingPackets sends the packets of searches that wait for searchBudget. The
-// search with the fewest bytes left goes first and the oldest of equal ones, so that
-// most callers of lost flows get their reset early and not all with the last packet.
-func (b *Balancer) sendPendingPackets(now hickorymodel.Instant) {
-	if !b.packetsPending {
-		return
-	}
-	waiting := []*search{}
-	for _, s := range b.searches {
-		if len(s.uncertain) > 0 {
-			waiting = append(waiting, s)
-		}
-	}
-	slices.SortFunc(waiting, func(x, y *search) int {
-		return cmp.Or(cmp.Compare(x.pendingBytes(), y.pendingBytes()), cmp.Compare(x.startedAt, y.startedAt))
-	})
-	for _, s := range waiting {
-		if !b.sendToUncertain(now, s) {
-			return
-		}
-	}
-	b.packetsPending = false
-}
-
-// sendSearchPacket sends the packet itself to agents, whose upstreams return it if
-// they do not hold the flow.
-func (b *Balancer) sendSearchPacket(now hickorymodel.Instant, s *search, agents []hickorymodel.Endpoint) {
-	for _, endpoint := range agents {
-		s.framesSent++
-		s.packetSentTo = append(s.packetSentTo, endpoint)
-		b.peer(endpoint).awaitAnswer(now)
-		b.actions = append(b.actions, frameAction(endpoint, KindData, ReasonOwnerUnknown, s.packet.Bytes))
-	}
-}
-
 // startNextRound asks the agents of the next round: those of the first round get
 // the packet, later ones a query.
 func (b *Balancer) startNextRound(now hickorymodel.Instant, s *search) {
@@ -277,79 +183,6 @@
 	b.checkExhausted(now, s)
 }
 
-// checkExhausted marks a search as exhausted when it has no agents left to ask or
-// to wait for.
-func (b *Balancer) checkExhausted(now hickorymodel.Instant, s *search) {
-	if len(s.awaiting) > 0 || len(s.remainingRounds) > 0 || s.exhausted {
-		return
-	}
-	if b.askOthers(now, s); len(s.awaiting) > 0 {
-		return
-	}
-	s.exhausted = true
-	b.recordDecision(&Decision{Step: StepNotFound, Flow: s.packet.Flow, Count: s.framesSent})
-	b.resetIfUnowned(now, s)
-}
-
-// askOthers queries all agents that the search has not included: those whose upstreams
-// belong to other services than the route's, and those that were not known when the
-// search began. Any of them may hold the flow, since routes change their services and
-// entries can be missing or wrong. Only the agent's answer tells, as its reports leave
-// flows out: those from before its start, and those beyond maxReportAddresses.
-func (b *Balancer) askOthers(now hickorymodel.Instant, s *search) {
-	if s.othersAsked && s.peerChanges == b.peerChanges {
-		return
-	}
-	s.othersAsked = true
-	s.peerChanges = b.peerChanges
-	others := []hickorymodel.Endpoint{}
-	for endpoint, p := range b.peers {
-		if !p.agentEnded(now) && !slices.Contains(s.included, endpoint) {
-			others = append(others, endpoint)
-		}
-	}
-	if len(others) == 0 {
-		return
-	}
-	s.included = append(s.included, others...)
-	s.awaiting = append(s.awaiting, others...)
-	s.exhausted = false
-	b.queueQueries(now, s, others)
-}
-
-// resetIfUnowned resets a flow that no agent owns, once the balancer has read the
-// entries of all upstreams at which the flow may have been opened: those that were
-// published before the search began, and those that may have expired while the store was
-// not available.
-func (b *Balancer) resetIfUnowned(now hickorymodel.Instant, s *search) {
-	b.askOthers(now, s)
-	if !s.exhausted || now.Before(b.staleUntil) || !b.view.StateComplete {
-		return
-	}
-	settledAt := b.view.SettledAt
-	if now.Before(settledAt) && settledAt != hickorydirectory.NeverSettled {
-		return // a later confirmation serves all searches until then
-	}
-	if max(b.view.Confirmed, b.confirmedUntil()).Before(s.startedAt) {
-		b.requestConfirmation(now)
-		return
-	}
-	if now.Before(settledAt) {
-		return
-	}
-	b.endLostFlow(hickorymodel.Endpoint{}, ReasonNotHeld, &s.packet)
-}
-
-// requestConfirmation requests that the published state is confirmed, unless it did so
-// within confirmInterval.
-func (b *Balancer) requestConfirmation(now hickorymodel.Instant) {
-	if b.confirmationRequestedAt != 0 && now.Sub(b.confirmationRequestedAt) < confirmInterval {
-		return
-	}
-	b.confirmationRequestedAt = now
-	b.needsConfirmation = true
-}
-
 // advanceSearches starts the next round of searches that have waited for
 // roundInterval, asks the other agents after othersInterval, sends pending packets, and
 // tries to end exhausted searches.
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -266,8 +266,7 @@
 }
 
 // TestNewUpstreamSettles guards against flows at upstreams that other balancers
-// have not listed yet. TestNewUpstreamIsAskedBeforeReset relies on the same
-// settleTime.
+// have not listed yet.
 func TestNewUpstreamSettles(t *testing.T) {
 	f := newFixture(t, "a")
 	added := f.view.Upstreams[0]
