--- a/schema/hickoryevent/event_generated.go
+++ b/schema/hickoryevent/event_generated.go
@@ -99,9 +99,9 @@
 	FlowSearched = Event{Number: 1506, Name: "FlowSearched", Level: "info", Text: "search for the owner of a flow started"}
 	// FlowFound: An agent reports that its upstream holds the flow.
 	FlowFound = Event{Number: 1507, Name: "FlowFound", Level: "info", Text: "owner of a flow found"}
-	// FlowNotFound: All agents whose upstream may hold the flow were asked, and none reported that its upstream holds it.
+	// FlowNotFound: Every known agent was asked, and none reported that its upstream holds the flow.
 	FlowNotFound = Event{Number: 1508, Name: "FlowNotFound", Level: "warn", Text: "no upstream holds the flow"}
-	// FlowLost: The upstream returned a packet of a flow that it held.
+	// FlowLost: The upstream returned a packet of a flow that it held, or every known agent has denied the flow.
 	FlowLost = Event{Number: 1509, Name: "FlowLost", Level: "warn", Text: "open flow reset; its upstream no longer holds it"}
 	// FlowUnknown: No agent is known whose upstream may hold the flow, or too many searches are running.
 	FlowUnknown = Event{Number: 1510, Name: "FlowUnknown", Level: "warn", Text: "packet of an unknown flow dropped"}
