Send a confirmation behind the view that it confirms

Cause: the decide duty of a balancer read the time up to which the published state is confirmed directly from the duty that follows the store, while the state itself came as a view through a ring. While a new view waited in the ring, the next answer of the store confirmed the old one, and a flow at the upstream whose entry was in the waiting view was reset.

Change: the confirmation takes the ring of the views; an update that still waits is merged with the next one. Steering gets it by Confirm, which also ends the searches that waited for it, instead of their next tick up to 100 ms later. The function confirmedUntil and the atomic behind it are gone. Turned down: a number of the view beside the time, compared at each search (one more state that two duties share).

Tests of steering pass the confirmation where they set it before; no bound or count changed.

--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -31,9 +31,6 @@
 	// StateComplete is true once the directory has a configuration and a complete
 	// listing.
 	StateComplete bool
-	// Confirmed is the time up to which the view has all published changes; 0 while
-	// the store has not answered.
-	Confirmed hickorymodel.Instant
 	// SettledAt is the time from which Upstreams has all upstreams that may run. Before,
 	// entries may be missing that expired while the store was not available.
 	SettledAt hickorymodel.Instant
--- a/core/hickorysteering/absence.go
+++ b/core/hickorysteering/absence.go
@@ -65,7 +65,7 @@
 	if now.Before(settledAt) && settledAt != hickorydirectory.NeverSettled {
 		return // a later confirmation serves all searches until then
 	}
-	if max(b.view.Confirmed, b.confirmedUntil()).Before(s.startedAt) {
+	if b.confirmedUntil.Before(s.startedAt) {
 		b.requestConfirmation(now)
 		return
 	}
@@ -75,6 +75,15 @@
 	b.endLostFlow(hickorymodel.Endpoint{}, ReasonNotHeld, &s.packet)
 }
 
+// endExhaustedSearches tries to end the searches that have no agents left to ask.
+func (b *Balancer) endExhaustedSearches(now hickorymodel.Instant) {
+	for _, s := range b.searches {
+		if s.exhausted {
+			b.resetIfUnowned(now, s)
+		}
+	}
+}
+
 // requestConfirmation requests that the published state is confirmed, unless it did so
 // within confirmInterval.
 func (b *Balancer) requestConfirmation(now hickorymodel.Instant) {
--- a/core/hickorysteering/absence_test.go
+++ b/core/hickorysteering/absence_test.go
@@ -117,7 +117,7 @@
 			f.exchange(f.balancer.Handle(f.now, data()))
 			for range 100 {
 				f.now = f.now.Add(hickorysteering.SearchTickInterval)
-				f.confirmed = f.now
+				f.exchange(f.balancer.Confirm(f.now, f.now))
 				f.exchange(f.balancer.Tick(f.now))
 			}
 			f.is.Equal(f.sent, 0)
@@ -137,8 +137,7 @@
 	f.now = f.now.Add(400 * time.Millisecond)
 	f.balancer.Tick(f.now) // agent(8) has not answered
 	f.report(agent(8), hickorysteering.StateAccepting)
-	f.confirmed = f.now
-	actions := f.balancer.Tick(f.now)
+	actions := f.balancer.Confirm(f.now, f.now)
 	f.is.Equal(resets(actions), 0)
 	f.is.Equal(targets(actions), []hickorymodel.Endpoint{agent(8)})
 }
@@ -162,13 +161,13 @@
 // of a search.
 func TestAbsenceAtTargetSize(t *testing.T) {
 	f := newFixture(t)
-	confirmed := func() hickorymodel.Instant { return f.now }
-	f.balancer = hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)), func(*hickorysteering.Decision) {}, confirmed)
+	f.balancer = hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)), func(*hickorysteering.Decision) {})
 	view := targetView()
 	f.balancer.SetView(f.now, view)
 	packet := data()
 	packet.Flow.Destination = socketAddress("198.18.3.7:443")
 	begun, sent := f.now, 0
+	f.balancer.Confirm(f.now, f.now.Add(time.Second))
 	pending := append([]hickorysteering.Action{}, f.balancer.Handle(f.now, packet)...)
 	denied := []hickoryframe.Answer{{Flow: hickorysteering.NoticeOf(packet.Flow), Reason: uint8(hickorysteering.ReasonNotHeld)}}
 	for sent == 0 && f.now.Sub(begun) < 2*time.Second {
--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -51,11 +51,12 @@
 	random    *rand.Rand
 	// onDecision is called with each decision.
 	onDecision func(*Decision)
-	// confirmedUntil returns a time up to which all published changes have been
-	// read. It may be earlier than the Confirmed time of the view.
-	confirmedUntil func() hickorymodel.Instant
 
-	view  *hickorydirectory.View
+	view *hickorydirectory.View
+	// confirmedUntil is a time up to which view has all published changes; 0 while that
+	// is not known.
+	confirmedUntil hickorymodel.Instant
+
 	peers map[hickorymodel.Endpoint]*peer
 	// services has the listed peers of each service, in the order of the view.
 	services map[hickorydirectory.ServiceHash][]*peer
@@ -102,22 +103,20 @@
 }
 
 // NewBalancer returns a balancer without a view. OnDecision is called with each
-// decision. ConfirmedUntil returns a time up to which all published changes have
-// been read.
-func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, onDecision func(*Decision), confirmedUntil func() hickorymodel.Instant, options ...BalancerOption) *Balancer {
+// decision.
+func NewBalancer(zone hickoryid.ZoneName, agentPort uint16, random *rand.Rand, onDecision func(*Decision), options ...BalancerOption) *Balancer {
 	b := &Balancer{
-		zone:           zone,
-		agentPort:      agentPort,
-		random:         random,
-		onDecision:     onDecision,
-		confirmedUntil: confirmedUntil,
-		view:           &hickorydirectory.View{},
-		peers:          map[hickorymodel.Endpoint]*peer{},
-		services:       map[hickorydirectory.ServiceHash][]*peer{},
-		flows:          map[hickorymodel.FlowKey]*flow{},
-		searches:       map[hickorymodel.FlowKey]*search{},
-		queries:        map[hickorymodel.Endpoint][]hickoryframe.Notice{},
-		searchBudget:   byteBudget{rate: minSearchRate},
+		zone:         zone,
+		agentPort:    agentPort,
+		random:       random,
+		onDecision:   onDecision,
+		view:         &hickorydirectory.View{},
+		peers:        map[hickorymodel.Endpoint]*peer{},
+		services:     map[hickorydirectory.ServiceHash][]*peer{},
+		flows:        map[hickorymodel.FlowKey]*flow{},
+		searches:     map[hickorymodel.FlowKey]*search{},
+		queries:      map[hickorymodel.Endpoint][]hickoryframe.Notice{},
+		searchBudget: byteBudget{rate: minSearchRate},
 	}
 	for _, option := range options {
 		option(b)
@@ -149,6 +148,18 @@
 	return b.actions
 }
 
+// Confirm records that the view has all changes that were published up to a time, and
+// ends the searches that waited for that.
+func (b *Balancer) Confirm(now, until hickorymodel.Instant) []Action {
+	b.actions = b.actions[:0]
+	if !until.Before(b.confirmedUntil) {
+		b.confirmedUntil = until
+		b.endExhaustedSearches(now)
+	}
+	b.sendQueries(now)
+	return b.actions
+}
+
 // Resumed records that the process has been paused. Packets that were queued
 // meanwhile may belong to flows that were opened through other balancers since.
 func (b *Balancer) Resumed(now hickorymodel.Instant) {
--- a/core/hickorysteering/fixture_test.go
+++ b/core/hickorysteering/fixture_test.go
@@ -34,8 +34,6 @@
 	decisions []hickorysteering.Decision
 	now       hickorymodel.Instant
 	view      *hickorydirectory.View
-	// confirmed is the time up to which all published changes have been read.
-	confirmed hickorymodel.Instant
 }
 
 // newFixture returns a balancer of zone a. Its view has one upstream for each of
@@ -44,7 +42,7 @@
 	f := &fixture{is: is.New(t), now: start}
 	f.balancer = hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)), func(d *hickorysteering.Decision) {
 		f.decisions = append(f.decisions, *d)
-	}, func() hickorymodel.Instant { return f.confirmed })
+	})
 	f.view = &hickorydirectory.View{
 		Version:       1,
 		StateComplete: true,
@@ -63,13 +61,19 @@
 	}
 	f.balancer.SetView(f.now, f.view)
 	f.now = f.now.Add(time.Second)
-	f.confirmed = f.now
+	f.confirm()
 	for i := range zones {
 		f.report(agent(i), hickorysteering.StateAccepting)
 	}
 	return f
 }
 
+// confirm confirms that the view has all changes published until now, and returns the
+// number of resets to the caller that follow.
+func (f *fixture) confirm() int {
+	return resets(f.balancer.Confirm(f.now, f.now))
+}
+
 var (
 	service = socketAddress("198.51.100.1:443")
 	caller  = socketAddress("192.0.2.7:40001")
--- a/core/hickorysteering/search_test.go
+++ b/core/hickorysteering/search_test.go
@@ -55,27 +55,27 @@
 			f.addOtherService()
 			f.report(agent(8), hickorysteering.StateAccepting)
 			f.now = f.now.Add(11 * time.Second)
-			f.confirmed = f.now
+			f.is.Equal(f.confirm(), 0)
 		}, false},
 		{"the report of an agent of another service is older than the search", func(f *fixture) {
 			f.addOtherService()
 			f.report(agent(8), hickorysteering.StateAccepting)
 			f.now = f.now.Add(time.Second)
-			f.confirmed = f.now
+			f.is.Equal(f.confirm(), 0)
 		}, false},
 		{"the route has had its services for longer than a flow lives", func(f *fixture) {
 			f.addOtherService()
 			f.now = f.now.Add(80 * time.Second)
 			f.report(agent(8), hickorysteering.StateAccepting)
 			f.now = f.now.Add(5 * time.Second)
-			f.confirmed = f.now
+			f.is.Equal(f.confirm(), 0)
 		}, false},
 		{"an agent without an entry has sent a frame", func(f *fixture) {
 			f.report(agent(8), hickorysteering.StateAccepting)
 		}, false},
 		{"the old report is of the agent that was asked", func(f *fixture) {
 			f.now = f.now.Add(11 * time.Second)
-			f.confirmed = f.now
+			f.is.Equal(f.confirm(), 0)
 		}, true},
 		{"an upstream may be listed whose entry has not been read", func(f *fixture) { f.now = f.now.Add(time.Millisecond) }, false},
 		{"entries may have expired before the balancer started", func(f *fixture) {
@@ -127,7 +127,7 @@
 			f.addOtherService()
 			f.report(agent(8), hickorysteering.StateAccepting)
 			f.now = f.now.Add(time.Second)
-			f.confirmed = f.now
+			f.is.Equal(f.confirm(), 0)
 			f.is.Equal(targets(f.balancer.Handle(f.now, data())), []hickorymodel.Endpoint{agent(0)})
 			actions := f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
 			f.is.Equal(resets(actions), 0)
@@ -258,10 +258,11 @@
 	added.Endpoint.Address[3] = 2
 	f.view.Upstreams = append(f.view.Upstreams, added)
 	f.balancer.SetView(f.now, f.view)
-	f.confirmed = f.now
+	actions := f.balancer.Confirm(f.now, f.now)
+	f.is.Equal(resets(actions), 0)
+	f.is.Equal(targets(actions), []hickorymodel.Endpoint{agent(1)})
 	f.report(agent(1), hickorysteering.StateAccepting)
-	f.is.Equal(targets(f.balancer.Tick(f.now)), []hickorymodel.Endpoint{agent(1)})
-	actions := f.balancer.HandleReturn(f.now, agent(1), hickorysteering.ReasonNotHeld, data())
+	actions = f.balancer.HandleReturn(f.now, agent(1), hickorysteering.ReasonNotHeld, data())
 	f.is.Equal(resets(actions), 1)
 }
 
@@ -426,7 +427,7 @@
 	for _, c := range cases {
 		f := newFixture(t, "a")
 		f.balancer = hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)), func(*hickorysteering.Decision) {},
-			func() hickorymodel.Instant { return 0 }, hickorysteering.WithLink(c.mbps))
+			hickorysteering.WithLink(c.mbps))
 		f.addOtherService()
 		sent := 0
 		for port := range uint16(2000) {
@@ -529,9 +530,8 @@
 	f.is.Equal(resets(f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())), 0)
 	f.is.True(f.balancer.NeedsConfirmation())
 	f.is.True(!f.balancer.NeedsConfirmation()) // once per call
-	f.view.Confirmed = f.now
-	f.balancer.SetView(f.now, f.view)
-	f.is.Equal(resets(f.balancer.Tick(f.now)), 1)
+	f.is.Equal(resets(f.balancer.SetView(f.now, f.view)), 0)
+	f.is.Equal(f.confirm(), 1)
 }
 
 // TestSearchWaitsForSettledView guards against a search that never ends because nobody
@@ -544,7 +544,7 @@
 	f.balancer.Handle(f.now, data())
 	f.balancer.HandleReturn(f.now, agent(0), hickorysteering.ReasonNotHeld, data())
 	f.is.True(f.balancer.NeedsConfirmation()) // the first answer of the store sets SettledAt
-	f.confirmed = f.now
+	f.is.Equal(f.confirm(), 0)
 	f.view.SettledAt = f.now.Add(2500 * time.Millisecond)
 	sent, confirmations := 0, 0
 	for sent == 0 && f.now.Before(f.view.SettledAt.Add(time.Second)) {
@@ -585,7 +585,7 @@
 			sent := 0
 			for range 100 {
 				f.now = f.now.Add(100 * time.Millisecond)
-				f.confirmed = f.now
+				sent += f.confirm()
 				f.report(agent(0), hickorysteering.StateAccepting)
 				sent += resets(f.balancer.Tick(f.now))
 			}
@@ -620,7 +620,7 @@
 			sent := resets(f.balancer.SetView(f.now, f.view))
 			for sent == 0 && f.now.Sub(begun) < c.limit {
 				f.now = f.now.Add(10 * time.Millisecond)
-				f.confirmed = f.now
+				sent += f.confirm()
 				sent += resets(f.balancer.Tick(f.now))
 			}
 			f.is.Equal(sent, 1)
@@ -651,7 +651,7 @@
 			waiting = append(waiting, targets(actions)...)
 		}
 		f.now = f.now.Add(10 * time.Millisecond)
-		f.confirmed = f.now
+		sent += f.confirm()
 		actions := f.balancer.Tick(f.now)
 		sent += resets(actions)
 		waiting = append(waiting, targets(actions)...)
--- a/core/hickorysteering/size_bench_test.go
+++ b/core/hickorysteering/size_bench_test.go
@@ -38,8 +38,9 @@
 
 func targetBalancer() *hickorysteering.Balancer {
 	balancer := hickorysteering.NewBalancer("a", agentPort, rand.New(rand.NewPCG(1, 2)),
-		func(*hickorysteering.Decision) {}, func() hickorymodel.Instant { return start })
+		func(*hickorysteering.Decision) {})
 	balancer.SetView(start, targetView())
+	balancer.Confirm(start, start)
 	return balancer
 }
 
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -157,7 +157,7 @@
 func (b *Balancer) Start(ctx context.Context) error {
 	b.group = hickoryduty.New(string(b.settings.Instance), b.logger)
 	follower := newStoreFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings, b.clock, b.scope)
-	decider := b.newDecider(follower.confirmedUntil)
+	decider := b.newDecider()
 	updater := b.newDirectoryUpdater(follower)
 	stateFetcher := &stateFetcher{client: b.peerClient, stateRequests: b.rings.stateRequests, stateCalls: b.rings.stateCalls, logger: b.logger}
 	changesFetcher := &changesFetcher{client: b.peerClient, changesFetches: b.rings.changesFetches, changesCalls: b.rings.changesCalls, logger: b.logger}
@@ -178,7 +178,7 @@
 	return nil
 }
 
-func (b *Balancer) newDecider(confirmedUntil func() hickorymodel.Instant) *balancerDecider {
+func (b *Balancer) newDecider() *balancerDecider {
 	d := &balancerDecider{
 		clock:         b.clock,
 		translation:   b.translation,
@@ -192,7 +192,7 @@
 		dataPort:      b.callerSocket.Endpoint().Port,
 	}
 	random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
-	d.steering = hickorysteering.NewBalancer(b.settings.Zone, b.callerSocket.Endpoint().Port, random, d.recorder.record, confirmedUntil,
+	d.steering = hickorysteering.NewBalancer(b.settings.Zone, b.callerSocket.Endpoint().Port, random, d.recorder.record,
 		hickorysteering.WithLink(b.settings.LinkMbps))
 	return d
 }
@@ -220,7 +220,6 @@
 		changesCalls:   b.rings.changesCalls,
 		changesFetches: b.rings.changesFetches,
 		setReading:     follower.setReading,
-		recordApplied:  follower.recordApplied,
 		rejectedValues: map[hickorydirectory.RejectedValue]bool{},
 	}
 }
--- a/io/hickoryfabric/balancer_decider.go
+++ b/io/hickoryfabric/balancer_decider.go
@@ -7,7 +7,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/core/hickorysteering"
 	"hickoryworks/io/hickoryclock"
@@ -60,8 +59,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case view := <-d.rings.views.Items():
-			d.setView(ctx, view)
+		case update := <-d.rings.views.Items():
+			d.applyUpdate(ctx, update)
 		case frame := <-packets:
 			d.handlePacket(ctx, frame)
 		case frame := <-d.rings.fromAgents.Items():
@@ -97,10 +96,14 @@
 	return hickorysteering.TickInterval
 }
 
-func (d *balancerDecider) setView(ctx context.Context, view *hickorydirectory.View) {
+// applyUpdate applies what is new of the published state.
+func (d *balancerDecider) applyUpdate(ctx context.Context, update hickoryring.DirectoryUpdate) {
 	d.checkPause()
-	d.stateComplete = view.StateComplete
-	d.perform(ctx, d.steering.SetView(d.clock.Now(), view))
+	if update.View != nil {
+		d.stateComplete = update.View.StateComplete
+		d.perform(ctx, d.steering.SetView(d.clock.Now(), update.View))
+	}
+	d.perform(ctx, d.steering.Confirm(d.clock.Now(), update.ConfirmedUntil))
 	d.updateServing()
 }
 
--- a/io/hickoryfabric/directory_updater.go
+++ b/io/hickoryfabric/directory_updater.go
@@ -47,10 +47,6 @@
 	// setReading is called with the revision up to which all changes are known, and
 	// with whether the storeFollower is to watch the store.
 	setReading func(reading bool, through hickorydirectory.Revision)
-	// recordApplied is called after an answer of the store that changed nothing, with
-	// the time at which the call was sent. After a change, the view carries that time
-	// as Confirmed.
-	recordApplied func(sentAt hickorymodel.Instant)
 
 	// confirmedUntil is when the last answered call to the store was sent: all changes
 	// published before it are applied.
@@ -190,7 +186,7 @@
 		u.publish("store")
 		return
 	}
-	u.recordApplied(answer.SentAt)
+	u.views.Put(hickoryring.DirectoryUpdate{ConfirmedUntil: u.confirmedUntil})
 }
 
 // logRejectedValues logs each rejected value once: its writer may repeat it with each
@@ -245,7 +241,6 @@
 // of the balancer whose state was merged.
 func (u *directoryUpdater) publish(source string) {
 	view := u.directory.View(u.clock.Now(), hickorymodel.NewWallTime(time.Now()))
-	view.Confirmed = u.confirmedUntil
 	accepting := 0
 	for i := range view.Upstreams {
 		if view.Upstreams[i].Accepting {
@@ -256,5 +251,5 @@
 		"source": source, "version": view.Version, "through": int(u.directory.Through()),
 		"routes": len(view.Routes), "upstreams": len(view.Upstreams), "accepting": accepting, "known": view.StateComplete,
 	})
-	u.views.Put(view)
+	u.views.Put(hickoryring.DirectoryUpdate{View: view, ConfirmedUntil: u.confirmedUntil})
 }
--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -9,7 +9,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"hickoryworks/core/hickorydirectory"
-	"hickoryworks/core/hickorymodel"
 	"hickoryworks/io/hickoryclock"
 	"hickoryworks/io/hickoryring"
 )
@@ -73,10 +72,6 @@
 	confirming bool
 
 	clock *hickoryclock.Clock
-	// appliedUntil is the hickorymodel.Instant before which all published changes are
-	// applied: when the last call was sent whose answer changed nothing. 0 stands for
-	// none. Other duties read and write it.
-	appliedUntil atomic.Int64
 	// reading is true while the store is to be watched, and knownThrough is the
 	// revision up to which the directory has all changes. The directoryUpdater writes
 	// both.
@@ -201,18 +196,6 @@
 	}
 }
 
-// recordApplied records that all changes published before sentAt are applied.
-func (f *storeFollower) recordApplied(sentAt hickorymodel.Instant) {
-	f.appliedUntil.Store(int64(sentAt))
-}
-
-// confirmedUntil returns the time up to which all published changes are applied. A
-// watch without an answer tells nothing, however long it is pending: the store may not
-// have received it, and its connection may be silent.
-func (f *storeFollower) confirmedUntil() hickorymodel.Instant {
-	return hickorymodel.Instant(f.appliedUntil.Load())
-}
-
 // recordOutcome records the outcome of a call and returns the pause before the next
 // one.
 func (f *storeFollower) recordOutcome(batch *hickorydirectory.Batch, err error) time.Duration {
--- a/io/hickoryfabric/store_follower_test.go
+++ b/io/hickoryfabric/store_follower_test.go
@@ -11,7 +11,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"hickoryworks/core/hickorydirectory"
-	"hickoryworks/core/hickorymodel"
 	"hickoryworks/io/hickoryclock"
 	"hickoryworks/io/hickoryring"
 )
@@ -99,24 +98,6 @@
 	}
 }
 
-// TestFollowerConfirmedUntil guards against changes that count as read between two
-// calls, or while a watch is pending: the store may not have received it, and a flow was
-// reset whose upstream had just been published.
-func TestFollowerConfirmedUntil(t *testing.T) {
-	is := is.New(t)
-	is.Equal(testFollower(Store{}).confirmedUntil(), hickorymodel.Instant(0))
-	var f *storeFollower
-	f = testFollower(Store{Watch: func(context.Context, hickorydirectory.Revision, time.Duration) (*hickorydirectory.Batch, error) {
-		is.Equal(f.confirmedUntil(), hickorymodel.Instant(5))
-		return &hickorydirectory.Batch{}, nil
-	}})
-	f.listed = true
-	f.recordApplied(5)
-	_, err := f.callStore(t.Context())
-	is.NoErr(err)
-	is.Equal(f.confirmedUntil(), hickorymodel.Instant(5)) // run records the answer
-}
-
 // TestReaderConfirmsAfterWatch guards against a search that waits for a second watch of
 // full length, because the confirmation was requested while the first was pending.
 func TestReaderConfirmsAfterWatch(t *testing.T) {
--- a/io/hickoryring/directory_ring.go
+++ b/io/hickoryring/directory_ring.go
@@ -1,28 +1,46 @@
 package hickoryring
 
-import "hickoryworks/core/hickorydirectory"
+import (
+	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
+)
 
-// DirectoryRing carries views of the published state to the decide duty. A newer
-// view replaces an older one, so the capacity is one and Put never blocks.
+// DirectoryUpdate is what the decide duty learns of the published state.
+type DirectoryUpdate struct {
+	// View is nil if the state has not changed.
+	View *hickorydirectory.View
+	// ConfirmedUntil is a time up to which View, or the last view before it, has all
+	// published changes; 0 while the store has not answered.
+	ConfirmedUntil hickorymodel.Instant
+}
+
+// DirectoryRing carries updates of the published state to the decide duty. A
+// confirmation must not arrive before the view that it belongs to, so both take this
+// ring. A newer update is merged with one that still waits, so the capacity is one and
+// Put never blocks.
 type DirectoryRing struct {
-	items chan *hickorydirectory.View
+	items chan DirectoryUpdate
 }
 
 // NewDirectoryRing returns an empty ring.
 func NewDirectoryRing() *DirectoryRing {
-	return &DirectoryRing{items: make(chan *hickorydirectory.View, 1)}
+	return &DirectoryRing{items: make(chan DirectoryUpdate, 1)}
 }
 
 // Items returns the channel to receive from.
-func (r *DirectoryRing) Items() <-chan *hickorydirectory.View {
+func (r *DirectoryRing) Items() <-chan DirectoryUpdate {
 	return r.items
 }
 
-// Put replaces the view in the ring. Only one goroutine may call it.
-func (r *DirectoryRing) Put(view *hickorydirectory.View) {
+// Put adds an update. Only one goroutine may call it.
+func (r *DirectoryRing) Put(update DirectoryUpdate) {
 	select {
-	case <-r.items:
+	case waiting := <-r.items:
+		if update.View == nil {
+			update.View = waiting.View
+		}
+		update.ConfirmedUntil = max(update.ConfirmedUntil, waiting.ConfirmedUntil)
 	default:
 	}
-	r.items <- view
+	r.items <- update
 }
