Keep the record of an open flow when a late copy of its first packet arrives

Cause: an agent began the record of a flow anew with each first packet, also with a copy that arrived late, when the flow was open. If the upstream returned that copy, the agent took the flow for one that was never held and dropped the record; after 25 s of running it denied the flow, and a balancer that searched for it sent a reset. In any case the unanswered request of the flow no longer counted as load.

Change: the record has the sequence number of the first packet. A copy changes nothing; another first packet begins a new record, which a return does not remove if the one before was of an open flow.

Turned down: to ignore all first packets of open flows. A caller may use a port again after the agent has lost the end of the flow.

tools/switchoff/run.sh now stops when the tests do not build: a test that did not compile counted as failing.

--- a/core/hickorysteering/absence_test.go
+++ b/core/hickorysteering/absence_test.go
@@ -229,6 +229,25 @@
 			late.Returned = true
 			s.agent.HandleUpstream(s.now, late)
 		}, idle, false},
+		{"a late copy of the first packet passed through the agent and was returned", func(s *agentFixture) {
+			s.now = s.now.Add(time.Minute)
+			s.firstPacket(0)
+			s.answer(hickorysteering.Packet{Answer: true})
+			open(s)
+			s.firstPacket(2)
+			s.returnedFirst(2)
+		}, idle, false},
+		{"a first packet passed through an agent that does not know the one of the open flow", func(s *agentFixture) {
+			s.now = s.now.Add(time.Minute)
+			open(s)
+			s.firstPacket(2)
+			s.returnedFirst(2)
+		}, idle, false},
+		{"the upstream returned the first packet of a new flow", func(s *agentFixture) {
+			s.now = s.now.Add(time.Minute)
+			s.firstPacket(0)
+			s.returnedFirst(0)
+		}, idle, true},
 		{"flows stay idle for longer than the agent kept them", func(s *agentFixture) {
 			s.now = s.now.Add(time.Minute)
 			open(s)
@@ -260,6 +279,21 @@
 	}
 }
 
+// firstPacket passes a copy of the first packet of the flow to the agent, 0 for the
+// original.
+func (s *agentFixture) firstPacket(copies uint32) []hickorysteering.Action {
+	header := hickoryframe.Header{Kind: uint8(hickorysteering.KindOpen), Service: uint32(clubroom)}
+	return s.agent.HandleFrame(s.now, balancer, &header, first(copies))
+}
+
+// returnedFirst passes a copy of the first packet that the upstream has returned to the
+// agent.
+func (s *agentFixture) returnedFirst(copies uint32) []hickorysteering.Action {
+	packet := first(copies)
+	packet.Returned = true
+	return s.agent.HandleUpstream(s.now, packet)
+}
+
 // TestClockIsNoProof guards against an agent that has restarted and denies flows which
 // its upstream holds, because the published start of the upstream seems to be later than
 // its own: the clock was ahead when the upstream started. Balancers of earlier builds
--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -178,8 +178,11 @@
 		return
 	}
 	if f := a.flow(now, p.Flow); f != nil {
-		a.setBusy(f, false)
-		*f = agentFlow{balancer: from, seenAt: now}
+		f.balancer = from
+		if !f.isCopy(p) {
+			a.setBusy(f, false)
+			*f = newAgentFlow(p, f)
+		}
 	}
 	a.deliver(from, p)
 }
--- a/core/hickorysteering/agent_flow.go
+++ b/core/hickorysteering/agent_flow.go
@@ -9,6 +9,13 @@
 	balancer hickorymodel.Endpoint
 	notified hickorymodel.Endpoint
 	stage    stage
+	// began is true once the agent has delivered a first packet, whose sequence number
+	// is sequence.
+	began    bool
+	sequence uint32
+	// replaced is true if the first packet came while the entry was that of an open
+	// flow. It may have been a late copy, and the upstream may still hold that flow.
+	replaced bool
 	// busy is true while a request of the caller is unanswered.
 	busy bool
 	// callerEnded and upstreamEnded are set by the last packet of the caller and of
@@ -36,6 +43,27 @@
 	requestedAt hickorymodel.Instant
 }
 
+// newAgentFlow returns the entry of a flow that begins with a first packet, in place of
+// another entry.
+func newAgentFlow(p *Packet, other *agentFlow) agentFlow {
+	return agentFlow{
+		balancer: other.balancer, seenAt: other.seenAt, began: true, sequence: p.Sequence,
+		replaced: other.replaced || (other.stage == stageOpen && !other.ended()),
+	}
+}
+
+// isCopy reports whether a first packet is a copy of the one with which the flow began.
+func (f *agentFlow) isCopy(p *Packet) bool {
+	return f.began && f.sequence == p.Sequence
+}
+
+// neverHeld reports whether a returned packet shows that the upstream does not hold the
+// flow. A first packet that the upstream does not accept says nothing about a flow that
+// it has answered before.
+func (f *agentFlow) neverHeld(p *Packet) bool {
+	return !p.First || (f.stage == stageOpening && !f.replaced)
+}
+
 // ended reports whether the upstream has ended the flow. While only one side has, the
 // upstream may still have data to send or to receive.
 func (f *agentFlow) ended() bool {
--- a/core/hickorysteering/agent_test.go
+++ b/core/hickorysteering/agent_test.go
@@ -352,6 +352,20 @@
 	s.is.Equal(queryAnswers(), []hickorysteering.Reason{hickorysteering.ReasonOpen})
 }
 
+// TestLateCopyKeepsFlow guards against a late copy of a first packet that makes an open
+// flow a new one: its unanswered request no longer counted as load, and a balancer that
+// searched for the owner got no answer.
+func TestLateCopyKeepsFlow(t *testing.T) {
+	s := newAgentFixture(t)
+	s.firstPacket(0)
+	s.answer(hickorysteering.Packet{Answer: true})
+	s.answer(hickorysteering.Packet{})
+	s.deliver(balancer)
+	s.firstPacket(1)
+	s.is.Equal(s.agent.BusyFlows(), 1)
+	s.is.Equal(s.queryAnswers(&hickoryframe.Query{}), []hickorysteering.Reason{hickorysteering.ReasonOpen})
+}
+
 // TestSeekingBalancerIsToldAgain guards against a balancer that restarts at the
 // same endpoint and gets no notice about a flow because its predecessor got one.
 // Its search went on to all agents, and the next packets of the flow waited for 0.6
--- a/core/hickorysteering/agent_upstream.go
+++ b/core/hickorysteering/agent_upstream.go
@@ -21,9 +21,7 @@
 		reason = ReasonEnded
 		a.detectRestart(now, f, p)
 	}
-	// A first packet that the upstream does not accept says nothing about a flow that
-	// it has answered before.
-	if known && (!p.First || f.stage == stageOpening) {
+	if known && f.neverHeld(p) {
 		a.setBusy(f, false)
 		delete(a.flows, p.Flow)
 	}
--- a/tools/switchoff/run.sh
+++ b/tools/switchoff/run.sh
@@ -24,6 +24,11 @@
     cat "$work/output" >&2
     exit 1
   fi
+  if ! go vet "$package" > "$work/output" 2>&1; then
+    echo "$name: the tests do not build" >&2
+    cat "$work/output" >&2
+    exit 1
+  fi
   if go test -timeout 60s -run "$test" "$package" > "$work/output" 2>&1; then
     echo "$name: $test passes although the rule is off" >&2
     passed=$((passed + 1))
