Doubt the silence of an upstream right after a pause of its agent

Cause: an agent measured how long its upstream leaves first packets unanswered by the clock alone. After a pause of the agent itself the time had passed, while the upstream's answers waited in the agent's sockets. It then refused first packets, reported its upstream as silent to all balancers, and began a cold start when it heard the upstream again.

Evidence: TestPausedAgentDoubtsItself failed before the change.

Change: the first tick after a gap of more than 150 ms decides nothing, the next one does. Turned down: to restart the measurement after each pause, since an agent with a small share of a processor would then never find a dead upstream.

Checked: unit tests; switched-off rule N59 fails its test.

--- a/core/hickorysteering/absence_test.go
+++ b/core/hickorysteering/absence_test.go
@@ -281,17 +281,17 @@
 
 // firstPacket passes a copy of the first packet of the flow to the agent, 0 for the
 // original.
-func (s *agentFixture) firstPacket(copies uint32) []hickorysteering.Action {
+func (s *agentFixture) firstPacket(copies uint32) {
 	header := hickoryframe.Header{Kind: uint8(hickorysteering.KindOpen), Service: uint32(clubroom)}
-	return s.agent.HandleFrame(s.now, balancer, &header, first(copies))
+	s.agent.HandleFrame(s.now, balancer, &header, first(copies))
 }
 
 // returnedFirst passes a copy of the first packet that the upstream has returned to the
 // agent.
-func (s *agentFixture) returnedFirst(copies uint32) []hickorysteering.Action {
+func (s *agentFixture) returnedFirst(copies uint32) {
 	packet := first(copies)
 	packet.Returned = true
-	return s.agent.HandleUpstream(s.now, packet)
+	s.agent.HandleUpstream(s.now, packet)
 }
 
 // TestClockIsNoProof guards against an agent that has restarted and denies flows which
--- a/core/hickorysteering/agent_gate.go
+++ b/core/hickorysteering/agent_gate.go
@@ -28,6 +28,9 @@
 	// silentProbeInterval is the time between two first packets that a silent
 	// upstream still gets as probes.
 	silentProbeInterval = 250 * time.Millisecond
+	// maxTickGap is the longest time between two ticks that does not count as a pause of
+	// the agent: a tick and some scheduling delay.
+	maxTickGap = TickInterval + 50*time.Millisecond
 	// maxUnansweredGap is the longest time between two unanswered first packets
 	// that are counted together.
 	maxUnansweredGap = 2 * time.Second
@@ -58,6 +61,11 @@
 	// is when it last got one as a probe.
 	silent      bool
 	lastProbeAt hickorymodel.Instant
+	// checkedAt is when detectChange was last called; 0 for never.
+	checkedAt hickorymodel.Instant
+	// doubted is true once the upstream has seemed silent right after a pause of the
+	// agent, in which the upstream's answers may have waited.
+	doubted bool
 }
 
 // updateColdStart applies the cold start that a frame names. Frames of different
@@ -121,6 +129,7 @@
 // was silent before.
 func (g *gate) recordAnswer(now hickorymodel.Instant) bool {
 	g.unanswered = 0
+	g.doubted = false
 	if !g.silent {
 		return false
 	}
@@ -135,11 +144,18 @@
 }
 
 // detectChange sets silent when the upstream has left first packets unanswered for
-// upstreamSilenceTime, and reports whether it has just done so.
+// upstreamSilenceTime, and reports whether it has just done so. After a pause of the
+// agent it waits for one more tick, in which the agent reads what has arrived.
 func (g *gate) detectChange(now hickorymodel.Instant) bool {
+	paused := g.checkedAt != 0 && now.Sub(g.checkedAt) > maxTickGap
+	g.checkedAt = now
 	if g.silent || g.unanswered < minSilentOpenings || now.Sub(g.firstUnansweredAt) < upstreamSilenceTime {
 		return false
 	}
+	if paused && !g.doubted {
+		g.doubted = true
+		return false
+	}
 	g.silent = true
 	g.lastProbeAt = now
 	return true
--- a/core/hickorysteering/agent_test.go
+++ b/core/hickorysteering/agent_test.go
@@ -273,6 +273,23 @@
 	s.is.Equal(s.open(5, hickoryframe.Header{})[0].Verb, hickorysteering.VerbDeliver)
 }
 
+// TestPausedAgentDoubtsItself guards against an agent that was paused and takes the
+// pause for the silence of its upstream, whose answers wait in its sockets: it refused
+// new flows and limited them like those of a cold start.
+func TestPausedAgentDoubtsItself(t *testing.T) {
+	s := newAgentFixture(t)
+	s.agent.Tick(s.now)
+	s.open(1, hickoryframe.Header{})
+	s.open(2, hickoryframe.Header{})
+	s.now = s.now.Add(400 * time.Millisecond)
+	s.agent.Tick(s.now)
+	s.is.Equal(s.open(3, hickoryframe.Header{})[0].Verb, hickorysteering.VerbDeliver)
+	s.is.Equal(len(s.steps), 0)
+	s.now = s.now.Add(400 * time.Millisecond)
+	s.agent.Tick(s.now) // also when it is paused again and again
+	s.is.Equal(s.steps, []hickorysteering.Step{hickorysteering.StepUpstreamSilent})
+}
+
 // TestStop guards against new flows at an agent that is being stopped (guarantee
 // P9): it refuses them, reports that at once, and still serves open flows.
 func TestStop(t *testing.T) {
