Refuse a new flow only if no upstream is about to have room for it

Cause: an agent counts the flows of the last 15 ms as requests that are still to come, and returned first packets as "busy" by that count alone. After a pause many first packets arrive at once, and so do their copies. The balancer took the return for an upstream that is full and refused the last copy. It also took it for certain that the upstream had no room for other flows within 20 ms, so that a last copy was refused without a question, and that nobody has room when six upstreams had returned a packet.

Change: a return has the reason "paced" if fewer requests than the limit are unanswered. A last copy that was sent to nobody is sent to an upstream that has just had no room. "busy" is believed at once, as before. Turned down: to try again after "busy" too (in an overload each refused caller would wait 0.6 s longer and cost up to 30 frames), and to hold packets at the agent (a queue in a second place).

The case "new flows whose requests are on their way" of TestRoomOfUpstream demanded the reason "busy"; it demands "paced" now, and the table has the reason of each case.

--- a/core/hickorysteering/agent.go
+++ b/core/hickorysteering/agent.go
@@ -169,8 +169,8 @@
 		return
 	}
 	a.maxRoom = max(a.maxRoom, int(header.Room))
-	if !a.hasRoom(now, int(header.Room)) {
-		a.returnPacket(from, ReasonBusy, p)
+	if reason, ok := a.admitRoom(now, int(header.Room)); !ok {
+		a.returnPacket(from, reason, p)
 		return
 	}
 	if reason, ok := a.gate.admit(now); !ok {
--- a/core/hickorysteering/agent_room.go
+++ b/core/hickorysteering/agent_room.go
@@ -24,12 +24,18 @@
 	return a.busy*requestsPerSlot <= a.maxRoom
 }
 
-// hasRoom reports whether a new flow may be opened in addition to the unanswered
+// admitRoom reports whether a new flow may be opened in addition to the unanswered
 // requests and the flows opened within openingTime, whose requests are still to
-// come. Room is the limit of their sum; 0 stands for no limit.
-func (a *Agent) hasRoom(now hickorymodel.Instant, room int) bool {
+// come, and why not. Room is the limit of their sum; 0 stands for no limit.
+func (a *Agent) admitRoom(now hickorymodel.Instant, room int) (Reason, bool) {
 	if room == 0 || a.busy+a.gate.recentOpenings(now, openingTime) < room {
-		return true
+		return ReasonNone, true
 	}
-	return a.gate.recentOpenings(now, starvationTime) == 0
+	if a.gate.recentOpenings(now, starvationTime) == 0 {
+		return ReasonNone, true
+	}
+	if a.busy < room {
+		return ReasonPaced, false
+	}
+	return ReasonBusy, false
 }
--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -80,6 +80,8 @@
 	confirmationRequestedAt hickorymodel.Instant
 	// packetsPending is true while a search may have agents left that get its packet.
 	packetsPending bool
+	// postponed has at most maxPostponed first packets.
+	postponed []postponedPacket
 	// searchBudget bounds the bytes of packets that searches send.
 	searchBudget byteBudget
 	// lastFrameAt is when a frame of any agent last arrived.
@@ -269,6 +271,7 @@
 	b.detectSilentAgents(now)
 	b.sendHellos(now)
 	b.advanceSearches(now)
+	b.sendPostponed(now)
 	if now.Sub(b.sweptAt) >= sweepInterval {
 		b.sweptAt = now
 		b.sweep(now)
@@ -361,7 +364,7 @@
 // Searching reports whether a search has more agents to ask, or queries or packets wait
 // to be sent.
 func (b *Balancer) Searching() bool {
-	return b.searchesWithRounds > 0 || len(b.queries) > 0 || b.packetsPending
+	return b.searchesWithRounds > 0 || len(b.queries) > 0 || b.packetsPending || len(b.postponed) > 0
 }
 
 // NeedsConfirmation reports whether, since the last call, a search could have ended
--- a/core/hickorysteering/choose.go
+++ b/core/hickorysteering/choose.go
@@ -95,6 +95,18 @@
 	}
 }
 
+// chooseBusy returns the upstream with the lowest cost among those that had no room a
+// moment ago, or nil if there is none.
+func (b *Balancer) chooseBusy(now hickorymodel.Instant, service hickorydirectory.ServiceHash) (*peer, float64) {
+	var best choice
+	for _, p := range b.services[service] {
+		if p.upstream.Accepting && now.Before(p.busyUntil) {
+			best.consider(p, b.cost(now, p))
+		}
+	}
+	return best.peer, best.cost
+}
+
 // cost returns the load of an upstream, increased during its cold start.
 func (b *Balancer) cost(now hickorymodel.Instant, p *peer) float64 {
 	cost := p.load() + maxTieBreak*b.random.Float64()
--- a/core/hickorysteering/flow.go
+++ b/core/hickorysteering/flow.go
@@ -73,7 +73,12 @@
 	complete bool
 	// refused is true once no upstream was left for the last copy.
 	refused bool
-	seenAt  hickorymodel.Instant
+	// crowded is true if an upstream may have room soon for the copy that is being
+	// tried: one has returned it with ReasonPaced, or more have room than were tried.
+	crowded bool
+	// postponedAt is when the last copy was first postponed; 0 for never.
+	postponedAt hickorymodel.Instant
+	seenAt      hickorymodel.Instant
 }
 
 // unheld reports whether no upstream can hold the flow, so that its first packet may be
--- a/core/hickorysteering/frame.go
+++ b/core/hickorysteering/frame.go
@@ -69,6 +69,9 @@
 	// ReasonOwnerUnknown marks a packet of a search: the balancer has no owner of
 	// the flow in its cache and needs a notice.
 	ReasonOwnerUnknown
+	// ReasonPaced returns a first packet because as many flows have just been opened as
+	// the upstream has room for, although their requests have not all arrived.
+	ReasonPaced
 )
 
 var reasonNames = map[Reason]string{
@@ -86,6 +89,7 @@
 	ReasonUnknown:      "unknown",
 	ReasonBusy:         "busy",
 	ReasonOwnerUnknown: "sought",
+	ReasonPaced:        "paced",
 }
 
 // String returns the name for logs and metrics.
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -46,6 +46,7 @@
 	}
 	f.complete = f.complete && p.Copy <= f.copies+1
 	f.copies = p.Copy
+	f.crowded = false
 	b.assign(now, p, route, f, StepOpened)
 }
 
@@ -72,6 +73,10 @@
 		return
 	}
 	chosen, load := b.choose(now, p.Flow, service, &f.tried)
+	if chosen == nil && p.Copy >= lastCopy && f.tried.count == 0 {
+		// Those that had no room for other flows a moment ago may have some for this one.
+		chosen, load = b.chooseBusy(now, service)
+	}
 	if chosen == nil {
 		b.endAttempt(now, p, f, ReasonNone)
 		return
@@ -114,7 +119,7 @@
 func (b *Balancer) endAttempt(now hickorymodel.Instant, p *Packet, f *flow, reason Reason) {
 	f.tried = triedList{}
 	f.owner = hickorymodel.Endpoint{}
-	f.refused = p.Copy >= lastCopy && !now.Before(b.staleUntil)
+	f.refused = p.Copy >= lastCopy && !now.Before(b.staleUntil) && !b.postpone(now, p, f)
 	if !f.refused || !f.unheld() {
 		b.recordDecision(&Decision{Step: StepWaited, Flow: p.Flow, Copy: p.Copy, Reason: reason})
 		return
@@ -130,7 +135,7 @@
 // handleReturnedFirst handles a first packet that an agent has returned: it tries
 // another upstream.
 func (b *Balancer) handleReturnedFirst(now hickorymodel.Instant, from hickorymodel.Endpoint, reason Reason, p *Packet) {
-	if reason == ReasonBusy {
+	if reason == ReasonBusy || reason == ReasonPaced {
 		b.peer(from).busyUntil = now.Add(busyTime)
 	}
 	f, known := b.flows[p.Flow]
@@ -155,12 +160,21 @@
 		f.copies = p.Copy // complete stays false: the cache may have lost the flow
 	}
 	f.tried.add(from)
-	if service, ok := chooseService(route, p.Flow); ok && !f.tried.full() {
+	f.crowded = f.crowded || reason == ReasonPaced
+	b.tryNext(now, p, route, f, reason)
+}
+
+// tryNext sends a first packet that was returned to another upstream, or ends the
+// attempt. Reason is that of the last return.
+func (b *Balancer) tryNext(now hickorymodel.Instant, p *Packet, route *hickorydirectory.Route, f *flow, reason Reason) {
+	service, ok := chooseService(route, p.Flow)
+	if ok && !f.tried.full() {
 		if chosen, _ := b.choose(now, p.Flow, service, &f.tried); chosen != nil {
 			b.assign(now, p, route, f, StepRetried)
 			return
 		}
 	}
+	f.crowded = f.crowded || (ok && f.tried.full() && b.othersHaveRoom(now, service, &f.tried))
 	b.endAttempt(now, p, f, reason)
 }
 
--- a/core/hickorysteering/room_test.go
+++ b/core/hickorysteering/room_test.go
@@ -27,19 +27,19 @@
 		busy    int
 		room    uint8
 		after   time.Duration
-		admit   bool
+		reason  hickorysteering.Reason
 		prepare func(s *agentFixture)
 	}{
-		{"room left", 5, 6, 20 * time.Millisecond, true, nil},
-		{"no room", 6, 6, 20 * time.Millisecond, false, nil},
-		{"no limit", 60, 0, 20 * time.Millisecond, true, nil},
-		{"new flows whose requests are on their way", 0, 6, 10 * time.Millisecond, false, func(s *agentFixture) {
+		{"room left", 5, 6, 20 * time.Millisecond, hickorysteering.ReasonNone, nil},
+		{"no room", 6, 6, 20 * time.Millisecond, hickorysteering.ReasonBusy, nil},
+		{"no limit", 60, 0, 20 * time.Millisecond, hickorysteering.ReasonNone, nil},
+		{"new flows whose requests are on their way", 0, 6, 10 * time.Millisecond, hickorysteering.ReasonPaced, func(s *agentFixture) {
 			for port := range uint16(6) {
 				s.open(100+port, hickoryframe.Header{})
 			}
 		}},
-		{"no new flow for a time", 6, 6, 150 * time.Millisecond, true, nil},
-		{"requests that are never answered", 6, 6, 4 * time.Second, true, func(s *agentFixture) { s.now = s.now.Add(-time.Second) }},
+		{"no new flow for a time", 6, 6, 150 * time.Millisecond, hickorysteering.ReasonNone, nil},
+		{"requests that are never answered", 6, 6, 4 * time.Second, hickorysteering.ReasonNone, func(s *agentFixture) { s.now = s.now.Add(-time.Second) }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -54,9 +54,10 @@
 			s.answer(hickorysteering.Packet{Answer: true}) // the upstream answers
 			s.agent.Tick(s.now)
 			actions := s.open(1000, hickoryframe.Header{Room: c.room})
-			s.is.Equal(actions[0].Verb == hickorysteering.VerbDeliver, c.admit)
-			if !c.admit {
-				s.is.Equal(s.reason(actions), hickorysteering.ReasonBusy)
+			admit := c.reason == hickorysteering.ReasonNone
+			s.is.Equal(actions[0].Verb == hickorysteering.VerbDeliver, admit)
+			if !admit {
+				s.is.Equal(s.reason(actions), c.reason)
 			}
 		})
 	}
