Let only a complete state settle another balancer

Cause: a balancer whose listing has no usable configuration sends other balancers no state, but said that its directory is settled. The receiver takes a missing state for "the same as yours" and would then reset flows although entries may still come back after an outage of the store. Found by reading; TestIncompleteStateSettlesNobody failed before the change.

Change: a directory is settled only if its state is complete.

--- a/core/hickorydirectory/directory.go
+++ b/core/hickorydirectory/directory.go
@@ -65,9 +65,10 @@
 	return d.hasList && d.table != nil
 }
 
-// Settled reports whether the directory has all upstreams that may run.
+// Settled reports whether the directory has all upstreams that may run. Without a
+// complete state it sends none to other balancers, so that they could not get these.
 func (d *Directory) Settled(now hickorymodel.Instant) bool {
-	return d.settledAt != 0 && !now.Before(d.settledAt)
+	return d.StateComplete() && d.settledAt != 0 && !now.Before(d.settledAt)
 }
 
 // Settle records that the directory has the whole state of another balancer whose
--- a/io/hickoryfabric/confirmation_test.go
+++ b/io/hickoryfabric/confirmation_test.go
@@ -134,3 +134,17 @@
 	f.decider.tick(t.Context())
 	f.is.Equal(f.decider.rings.toCallers.Len(), 1)
 }
+
+// TestIncompleteStateSettlesNobody guards against a balancer that takes its upstreams for
+// all that may run, because another one said so that has no configuration yet and
+// therefore sent no state. The flows of upstreams that it lacks would be reset.
+func TestIncompleteStateSettlesNobody(t *testing.T) {
+	f := newConfirmationFixture(t)
+	f.answer(&hickorydirectory.Batch{Through: 1, Complete: true})
+	f.updater.directory.Settle(f.updater.clock.Now())
+	replies := make(chan hickorymessage.StateReply, 1)
+	f.updater.handleStateCall(hickoryring.StateCall{Request: &hickorymessage.StateRequest{Sender: "10.0.0.9:7000"}, Reply: replies})
+	reply := <-replies
+	f.is.True(reply.State == nil)
+	f.is.True(!reply.Settled)
+}
