Learn the address of an unreadable entry from other balancers

Cause: a balancer that starts while another writer's bytes stand under the key of a live upstream has no address of it. Other balancers have read the entry before, but keep it with the revision of the odd bytes; the new one took that for nothing new, and their digests were the same. It would reset the flows of the upstream once all others had denied them, until the upstream writes its entry again.

Evidence: found by reading; TestAddressOfUnreadableEntry failed before the change (no upstream in the view).

Change: the record says that its address is unknown. The digest has that, and an entry of the same revision fills it in.

--- a/core/hickorydirectory/apply.go
+++ b/core/hickorydirectory/apply.go
@@ -74,7 +74,10 @@
 		return
 	}
 	record, known := d.upstreams[entry.ID]
-	if known && Revision(entry.Revision) <= record.revision {
+	if known && Revision(entry.Revision) < record.revision {
+		return
+	}
+	if known && Revision(entry.Revision) == record.revision && !record.addressUnknown {
 		return
 	}
 	next := &upstreamRecord{listed: *entry, revision: Revision(entry.Revision), endpoint: endpoint}
@@ -103,6 +106,7 @@
 		return
 	}
 	record.revision = revision
+	record.addressUnknown = false
 	if record.removedAt != 0 {
 		return
 	}
@@ -123,6 +127,7 @@
 	record, known := d.upstreams[id]
 	if !known || record.endpoint.IsZero() {
 		d.markRemoved(now, id, revision, 0)
+		d.upstreams[id].addressUnknown = d.upstreams[id].revision == revision
 		return
 	}
 	if revision < record.revision || (record.removedAt != 0 && revision == record.revision) {
--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -306,6 +306,26 @@
 	}
 }
 
+// TestAddressOfUnreadableEntry guards against flows that are reset by a new balancer, whose
+// first listing has an entry that can't be parsed: another balancer knows the address of
+// the upstream, but has it with the same revision.
+func TestAddressOfUnreadableEntry(t *testing.T) {
+	is := is.New(t)
+	unreadable := hickorydirectory.Change{Unreadable: &hickorymessage.RemovedUpstream{ID: "u-1", Revision: 8}}
+	d, other := hickorydirectory.New(), hickorydirectory.New()
+	other.Apply(start, listing(5, table(1), upstream(1, 3, false, "0s")))
+	other.Apply(start, changes(8, unreadable))
+	d.Apply(start, listing(8, table(1), unreadable))
+	is.Equal(len(d.View(start, wall).Upstreams), 0)
+	is.True(d.Digest() != other.Digest()) // so that the other balancer sends its state
+	d.Merge(start, other.Export(start))
+	is.Equal(d.Digest(), other.Digest())
+	view := d.View(start, wall)
+	is.Equal(len(view.Upstreams), 1)
+	is.Equal(len(accepting(view)), 0)
+	is.True(!view.Upstreams[0].Removed)
+}
+
 // TestLapsedEntries guards against a service that loses all upstreams at once
 // because their entries expired while the store was not available, and against
 // entries that are never removed.
--- a/core/hickorydirectory/exchange.go
+++ b/core/hickorydirectory/exchange.go
@@ -12,8 +12,8 @@
 	"hickoryworks/schema/hickorymessage"
 )
 
-// Digest returns a hash of the revisions of all records. Two directories with the
-// same digest hold the same state.
+// Digest returns a hash of the revisions of all records, and of what is not known of
+// them. Two directories with the same digest hold the same state.
 func (d *Directory) Digest() string {
 	hash := xxhash.New()
 	add := func(name string, revision int) {
@@ -21,7 +21,11 @@
 	}
 	add("table", d.Version())
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
-		add(string(id), int(d.upstreams[id].revision))
+		record := d.upstreams[id]
+		add(string(id), int(record.revision))
+		if record.addressUnknown {
+			add("address of "+string(id), 0)
+		}
 	}
 	for _, zone := range slices.Sorted(maps.Keys(d.zones)) {
 		add(string(zone), d.zones[zone].mark.Revision)
--- a/core/hickorydirectory/record.go
+++ b/core/hickorydirectory/record.go
@@ -14,6 +14,9 @@
 	revision Revision
 	// endpoint is zero when only the removal of the entry is known.
 	endpoint hickorymodel.Endpoint
+	// addressUnknown is true if the entry exists, but could not be parsed at any of its
+	// revisions. Another balancer may have read its address before.
+	addressUnknown bool
 	// coldUntil is when the cold start of the last entry ends; 0 if it is warm.
 	coldUntil hickorymodel.Instant
 	// removedAt is when the removal became known; 0 while the entry exists.
