Refuse no flow for want of a route while routes are left out

Cause: the reader of the store leaves out a route that it can't use (a name above 256 bytes, more than 64 services, a value out of range). Balancers took the rest for all published routes and refused first packets to the address at once.

Change: the table has routesLeftOut, which passes between balancers (left out of the message when false, so that earlier builds can read it). While it is set, a first packet without a route is dropped instead of refused.

The cases of TestNoRouteIsRefusedAtOnce that were there are kept.

--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -96,6 +96,32 @@
 	}
 }
 
+// TestRoutesLeftOut guards against a view that seems to have all routes, although the
+// reader of the store or this balancer could not use one.
+func TestRoutesLeftOut(t *testing.T) {
+	cases := []struct {
+		name    string
+		change  func(t *hickorymessage.RouteTable)
+		leftOut bool
+	}{
+		{"all are used", func(*hickorymessage.RouteTable) {}, false},
+		{"the reader has left one out", func(t *hickorymessage.RouteTable) { t.RoutesLeftOut = true }, true},
+		{"an address can't be parsed", func(t *hickorymessage.RouteTable) { t.Routes[0].Address = "nowhere" }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			published := table(7)
+			c.change(published.Table)
+			d, follower := hickorydirectory.New(), hickorydirectory.New()
+			d.Apply(start, listing(9, published))
+			follower.Merge(start, d.Export(start))
+			is.Equal(d.View(start, wall).RoutesLeftOut, c.leftOut)
+			is.Equal(follower.View(start, wall).RoutesLeftOut, c.leftOut)
+		})
+	}
+}
+
 // TestUrgentRoutes guards against routes of higher priority that do not count as
 // urgent, so that they would not get the room of a busy upstream first.
 func TestUrgentRoutes(t *testing.T) {
--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -38,6 +38,9 @@
 	// from caches.
 	IdleTimeout time.Duration
 	Routes      map[hickorymodel.SocketAddress]*Route
+	// RoutesLeftOut is true if the published version has routes that are not in Routes
+	// because they could not be used. An address without a route may be one of theirs.
+	RoutesLeftOut bool
 	// Upstreams are sorted by ID and have different IP addresses, since an agent runs
 	// beside one upstream.
 	Upstreams []Upstream
@@ -104,6 +107,7 @@
 	services := map[hickoryid.ServiceName]hickorymessage.RoutedService{}
 	if d.table != nil {
 		view.IdleTimeout = d.table.IdleTimeout.Value()
+		view.RoutesLeftOut = d.table.RoutesLeftOut
 		for _, service := range d.table.Services {
 			services[service.Name] = service
 		}
@@ -155,6 +159,7 @@
 func (v *View) addRoute(published *hickorymessage.Route) {
 	endpoint, err := hickorymodel.ParseEndpoint(published.Address)
 	if err != nil {
+		v.RoutesLeftOut = true
 		return
 	}
 	route := &Route{Name: published.Name, Priority: published.Priority}
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -52,15 +52,15 @@
 
 // refuseUnrouted resets a flow to an address without a route; f is its cache entry, or
 // nil. A balancer without a complete view, or one that was paused, drops the packet
-// instead. So does one that has not handled the flow from its first packet on: another
-// balancer may know a route and have opened the flow.
+// instead. So does one that has left out routes, and one that has not handled the flow
+// from its first packet on: another balancer may know a route and have opened the flow.
 func (b *Balancer) refuseUnrouted(now hickorymodel.Instant, p *Packet, f *flow) {
 	b.recordDecision(&Decision{Step: StepNoRoute, Flow: p.Flow, Copy: p.Copy})
 	unheld := p.Copy == 0
 	if f != nil && f.sequence == p.Sequence {
 		unheld = f.unheld()
 	}
-	if unheld && b.view.StateComplete && !now.Before(b.staleUntil) {
+	if unheld && b.view.StateComplete && !b.view.RoutesLeftOut && !now.Before(b.staleUntil) {
 		b.sendReset(p)
 	}
 }
--- a/core/hickorysteering/open_test.go
+++ b/core/hickorysteering/open_test.go
@@ -58,14 +58,26 @@
 }
 
 // TestNoRouteIsRefusedAtOnce guards against callers that get no reset for an
-// address without a route, and against resets before the configuration is known.
+// address without a route, against resets before the configuration is known, and
+// against the refusal of flows to a published route that the balancer could not use.
 func TestNoRouteIsRefusedAtOnce(t *testing.T) {
-	for _, known := range []bool{true, false} {
-		f := newFixture(t, "a")
-		f.balancer.SetView(f.now, &hickorydirectory.View{StateComplete: known})
-		actions := f.balancer.Handle(f.now, first(0))
-		f.is.Equal(len(targets(actions)), 0)
-		f.is.Equal(resets(actions) == 1, known)
+	cases := []struct {
+		name    string
+		view    hickorydirectory.View
+		refused bool
+	}{
+		{"all routes are known", hickorydirectory.View{StateComplete: true}, true},
+		{"no route is known yet", hickorydirectory.View{}, false},
+		{"a route was left out", hickorydirectory.View{StateComplete: true, RoutesLeftOut: true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, "a")
+			f.balancer.SetView(f.now, &c.view)
+			actions := f.balancer.Handle(f.now, first(0))
+			f.is.Equal(len(targets(actions)), 0)
+			f.is.Equal(resets(actions) == 1, c.refused)
+		})
 	}
 }
 
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -369,6 +369,10 @@
 	// Routes corresponds to the JSON schema field "routes".
 	Routes []Route `json:"routes" yaml:"routes"`
 
+	// RoutesLeftOut is true when the published version has routes that the reader of
+	// the store could not use. An address without a route may be one of theirs.
+	RoutesLeftOut bool `json:"routesLeftOut,omitempty,omitzero" yaml:"routesLeftOut,omitempty"`
+
 	// Services corresponds to the JSON schema field "services".
 	Services []RoutedService `json:"services" yaml:"services"`
 
@@ -402,6 +406,9 @@
 	if len(plain.Routes) > 65536 {
 		return fmt.Errorf("field %s length: must be <= %d", "routes", 65536)
 	}
+	if v, ok := raw["routesLeftOut"]; !ok || v == nil {
+		plain.RoutesLeftOut = false
+	}
 	if len(plain.Services) > 65536 {
 		return fmt.Errorf("field %s length: must be <= %d", "services", 65536)
 	}
