Set no limit for an upstream whose room a frame can't name

Cause: a frame has one byte for the number of unanswered requests up to which an upstream takes new flows. Larger numbers were cut to 255, so that an upstream with more than 85 slots returned first packets as "busy" although it had room. Found by reading; the sites have 2 to 6 slots. The new case of TestRoomOfFrame failed before the change (255 instead of 0).

Change: such an upstream has no limit. Turned down: a wider field, which agents of earlier builds can't read.

--- a/core/hickorysteering/room.go
+++ b/core/hickorysteering/room.go
@@ -20,7 +20,9 @@
 )
 
 // room returns the number of unanswered requests from which on an upstream gets no
-// more flows of the route, or 0 for no limit when its slots are not known.
+// more flows of the route. It returns 0 for no limit when its slots are not known, or
+// when a frame can't name the number: a lower one would refuse flows that the upstream
+// has room for.
 func room(slots hickoryid.Slots, route *hickorydirectory.Route, copies uint32) uint8 {
 	perSlot := requestsPerSlot
 	if route.Urgent {
@@ -29,5 +31,9 @@
 	if copies > 0 {
 		perSlot -= urgentRequestsPerSlot
 	}
-	return uint8(min(perSlot*int(slots), math.MaxUint8))
+	requests := perSlot * int(slots)
+	if requests > math.MaxUint8 {
+		return 0
+	}
+	return uint8(requests)
 }
--- a/core/hickorysteering/room_test.go
+++ b/core/hickorysteering/room_test.go
@@ -8,6 +8,7 @@
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/core/hickorysteering"
 	"hickoryworks/schema/hickoryframe"
+	"hickoryworks/schema/hickoryid"
 )
 
 // request opens a flow at the agent and delivers a request on it.
@@ -147,17 +148,22 @@
 		name   string
 		urgent bool
 		copies uint32
+		slots  hickoryid.Slots
 		want   uint8
 	}{
-		{"fresh", false, 0, 6},
-		{"copy", false, 1, 4},
-		{"urgent", true, 0, 8},
-		{"urgent copy", true, 2, 6},
+		{"fresh", false, 0, 2, 6},
+		{"copy", false, 1, 2, 4},
+		{"urgent", true, 0, 2, 8},
+		{"urgent copy", true, 2, 2, 6},
+		{"as much as a frame can name", false, 0, 85, 255},
+		{"more than a frame can name", false, 0, 86, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t, "a")
 			f.view.Routes[service].Urgent = c.urgent
+			f.view.Upstreams[0].Slots = c.slots
+			f.balancer.SetView(f.now, f.view)
 			f.is.Equal(f.balancer.Handle(f.now, first(c.copies))[0].Header.Room, c.want)
 		})
 	}
