Drop a returned first packet that a full flow cache can't record

Cause: with a full flow cache a balancer has no entry that says which upstreams a first packet was sent to. Each return looked like the first, and the packet went back and forth between two upstreams, one round trip each, until one returned it as "busy".

Change: such a packet is dropped; the caller's next copy tries again. No refusal follows, since nobody knows who still has a copy.

--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -154,7 +154,9 @@
 	}
 	if !known {
 		if f = b.flow(now, p.Flow); f == nil {
-			f = &flow{}
+			// Without a record of those that were tried there is no end of trying.
+			b.recordDecision(&Decision{Step: StepWaited, Flow: p.Flow, Copy: p.Copy, Reason: reason})
+			return
 		}
 		f.sequence = p.Sequence
 		f.copies = p.Copy // complete stays false: the cache may have lost the flow
