--- a/io/hickoryfabric/confirmation_test.go
+++ b/io/hickoryfabric/confirmation_test.go
@@ -21,8 +21,8 @@
 	"hickoryworks/schema/hickorysettings"
 )
 
-// unsearchedFlow is a flow that the balancer of a confirmationFixture does not know.
-var unsearchedFlow = hickorymodel.FlowKey{
+// unknownFlow is a flow that the balancer of a confirmationFixture does not know.
+var unknownFlow = hickorymodel.FlowKey{
 	Source:      hickorymodel.NewSocketAddress(netip.MustParseAddrPort("127.0.0.1:40001")),
 	Destination: hickorymodel.NewSocketAddress(netip.MustParseAddrPort("198.51.100.1:443")),
 	Protocol:    hickorymodel.ProtocolTCP,
@@ -41,7 +41,7 @@
 	loopback := hickoryid.Endpoint("127.0.0.1:0")
 	translation := Translation{
 		DecodePacket: func(data []byte, packet *hickorysteering.Packet) error {
-			*packet = hickorysteering.Packet{Flow: unsearchedFlow, Data: 1, Bytes: data}
+			*packet = hickorysteering.Packet{Flow: unknownFlow, Data: 1, Bytes: data}
 			return nil
 		},
 		EncodeReset: func(hickorymodel.FlowKey, uint32) []byte { return []byte("reset") },
@@ -67,15 +67,19 @@
 	f.decider.applyUpdate(t.Context(), <-f.decider.rings.views.Items())
 }
 
+// denial returns the answer of an agent whose upstream does not hold the flow.
+func denial() []byte {
+	return encodeFrame(&hickorysteering.Action{Verb: hickorysteering.VerbAnswers, Header: hickoryframe.Header{
+		Version: hickorysteering.FrameVersion, Kind: uint8(hickorysteering.KindAnswers),
+	}, Answers: []hickoryframe.Answer{{Flow: hickorysteering.NoticeOf(unknownFlow), Reason: uint8(hickorysteering.ReasonNotHeld)}}})
+}
+
 // deny answers the last search packet or query to an agent: it does not hold the flow.
 func (f *confirmationFixture) deny(t *testing.T, upstream string) {
-	answers := hickorysteering.Action{Verb: hickorysteering.VerbAnswers, Header: hickoryframe.Header{
-		Version: hickorysteering.FrameVersion, Kind: uint8(hickorysteering.KindAnswers),
-	}, Answers: []hickoryframe.Answer{{Flow: hickorysteering.NoticeOf(unsearchedFlow), Reason: uint8(hickorysteering.ReasonNotHeld)}}}
 	agent, err := hickorymodel.ParseEndpoint(hickoryid.Endpoint(upstream))
 	f.is.NoErr(err)
 	agent.Port = f.decider.dataPort
-	f.decider.handleFrame(t.Context(), hickoryring.Frame{Peer: agent, Bytes: encodeFrame(&answers)})
+	f.decider.handleFrame(t.Context(), hickoryring.Frame{Peer: agent, Bytes: denial()})
 }
 
 // listing is a configuration with one upstream.
