Exchange the state once for an odd entry, and try paced flows after a pause

: a balancer that had read an odd entry marked it in its digest each time that its writer wrote it; balancers that got it in an exchange did not. Their digests differed for as long as the writer went on, and they sent each other whole states.

--- a/core/hickorydirectory/apply.go
+++ b/core/hickorydirectory/apply.go
@@ -126,8 +126,9 @@
 func (d *Directory) markUnreadable(now hickorymodel.Instant, id hickoryid.UpstreamID, revision Revision) {
 	record, known := d.upstreams[id]
 	if !known || record.endpoint.IsZero() {
+		unknown := !known || record.addressUnknown
 		d.markRemoved(now, id, revision, 0)
-		d.upstreams[id].addressUnknown = d.upstreams[id].revision == revision
+		d.upstreams[id].addressUnknown = unknown
 		return
 	}
 	if revision < record.revision || (record.removedAt != 0 && revision == record.revision) {
--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -352,6 +352,26 @@
 	is.True(!view.Upstreams[0].Removed)
 }
 
+// TestOddEntryIsExchangedOnce guards against balancers that send each other their whole
+// states again and again, because one has read an odd entry and the other has not.
+func TestOddEntryIsExchangedOnce(t *testing.T) {
+	is := is.New(t)
+	odd := func(revision int) hickorydirectory.Change {
+		return hickorydirectory.Change{Unreadable: &hickorymessage.RemovedUpstream{ID: "u-1", Revision: revision}}
+	}
+	reader, follower := hickorydirectory.New(), hickorydirectory.New()
+	reader.Apply(start, listing(5, table(1)))
+	follower.Merge(start, reader.Export(start))
+	for revision := 8; revision < 10; revision++ {
+		reader.Apply(start, changes(hickorydirectory.Revision(revision), odd(revision)))
+		follower.Merge(start, reader.ExportChanges(start, 5, 1))
+		if revision == 8 {
+			reader.Merge(start, follower.Export(start))
+		}
+		is.Equal(reader.Digest(), follower.Digest())
+	}
+}
+
 // TestLapsedEntries guards against a service that loses all upstreams at once
 // because their entries expired while the store was not available, and against
 // entries that are never removed.
--- a/core/hickorydirectory/record.go
+++ b/core/hickorydirectory/record.go
@@ -15,7 +15,8 @@
 	// endpoint is zero when only the removal of the entry is known.
 	endpoint hickorymodel.Endpoint
 	// addressUnknown is true if the entry exists, but could not be parsed at any of its
-	// revisions. Another balancer may have read its address before.
+	// revisions. Another balancer may have read its address before; it is false once one
+	// has sent its state without that.
 	addressUnknown bool
 	// coldUntil is when the cold start of the last entry ends; 0 if it is warm.
 	coldUntil hickorymodel.Instant
--- a/core/hickorysteering/open.go
+++ b/core/hickorysteering/open.go
@@ -119,7 +119,7 @@
 func (b *Balancer) endAttempt(now hickorymodel.Instant, p *Packet, f *flow, reason Reason) {
 	f.tried = triedList{}
 	f.owner = hickorymodel.Endpoint{}
-	f.refused = p.Copy >= lastCopy && !now.Before(b.staleUntil) && !b.postpone(now, p, f)
+	f.refused = p.Copy >= lastCopy && !b.postpone(now, p, f) && !now.Before(b.staleUntil)
 	if !f.refused || !f.unheld() {
 		b.recordDecision(&Decision{Step: StepWaited, Flow: p.Flow, Copy: p.Copy, Reason: reason})
 		return
--- a/core/hickorysteering/postponed_test.go
+++ b/core/hickorysteering/postponed_test.go
@@ -48,6 +48,15 @@
 	f.is.True(!f.balancer.Searching())
 }
 
+// TestPacedLastCopyAfterPause guards against a flow that ends in silence because its
+// balancer was paused, when a refusal would be premature, but another attempt is not.
+func TestPacedLastCopyAfterPause(t *testing.T) {
+	f := newFixture(t, "a")
+	f.balancer.Resumed(f.now.Add(600 * time.Millisecond))
+	f.is.Equal(f.returnCopies(1, hickorysteering.ReasonPaced), 0)
+	f.is.Equal(targets(f.balancer.Tick(f.now)), []hickorymodel.Endpoint{agent(0)})
+}
+
 // TestPacedLastCopyEndsInSilence guards against attempts without end for a flow that the
 // caller has given up, and against its refusal although no upstream was full.
 func TestPacedLastCopyEndsInSilence(t *testing.T) {
