Apply newer services before an agent forwards under their lease

The decide duty of an agent read its lease directly, but took the services that the lease was granted for from a ring when their turn came. While they waited, a new lease allowed forwarding by the old services, for instance into a zone out of service. Balancers read the lease first and then take what waits in the ring; agents now do so too.

Checked: unit tests of io.

--- a/io/hickoryagent/agent.go
+++ b/io/hickoryagent/agent.go
@@ -206,7 +206,6 @@
 	}
 	rings := deciderRings{
 		received:    a.received,
-		services:    a.services,
 		transfers:   a.transfers,
 		imports:     a.imports,
 		answered:    a.answered,
@@ -271,6 +270,7 @@
 		importing:         a.settings.PredecessorEndpoint != nil,
 	}
 	d.lease = a.relay.Lease()
+	d.services = a.services
 	if a.settings.Delivery == hickorysettings.DeliveryDatagram {
 		d.requests = a.requests
 	}
--- a/io/hickoryagent/decider.go
+++ b/io/hickoryagent/decider.go
@@ -53,6 +53,11 @@
 	// lease must be valid for forwarding packets to other agents, but not for
 	// delivery to the upstream.
 	lease *hickoryrelay.LeaseCell
+	// services carries the services in force.
+	services *hickoryring.ServiceRing
+	// mayForward is true if the lease allowed forwarding when the event that is being
+	// handled began, before newer services were taken from the ring.
+	mayForward bool
 
 	// importing is true at a successor until it has imported all flows or its
 	// predecessor counts as ended. Received packets stay in their ring meanwhile.
@@ -89,7 +94,6 @@
 // deciderRings holds the rings that the decide duty reads.
 type deciderRings struct {
 	received  *hickoryring.FrameRing
-	services  *hickoryring.ServiceRing
 	transfers *hickoryring.TransferRing
 	imports   *hickoryring.ImportRing
 	// answered carries the flows of requests that the upstream has answered.
@@ -110,7 +114,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case set := <-rings.services.Items():
+		case set := <-d.services.Items():
 			d.setServices(set)
 		case call := <-rings.transfers.Items():
 			call.Reply <- d.answerTransfer(&call.Request)
@@ -119,6 +123,7 @@
 		case <-ticker.C:
 			d.tick(ctx)
 		case flow := <-rings.answered.Items():
+			d.applyPendingServices()
 			d.perform(ctx, d.tracker.HandleAnswer(d.clock.Now(), flow))
 		case share := <-rings.shares.Items():
 			d.tracker.SetCeiling(share)
@@ -133,6 +138,7 @@
 // tick runs the periodic work of the tracker. It also applies a call of Drain,
 // and publishes the number of flows and whether new flows are refused.
 func (d *decider) tick(ctx context.Context) {
+	d.applyPendingServices()
 	draining := d.draining.Load()
 	if draining && !d.stoppedAccepting {
 		d.stopAccepting()
@@ -148,6 +154,18 @@
 	d.refusing.Store(draining)
 }
 
+// applyPendingServices reads the lease and then applies the services in the ring, if
+// there are newer ones. The relay puts services in the ring before it stores the lease
+// that was granted for them, so the service is never older than those of the lease.
+func (d *decider) applyPendingServices() {
+	d.mayForward = d.lease.Allows(d.clock.Now())
+	select {
+	case set := <-d.services.Items():
+		d.setServices(set)
+	default:
+	}
+}
+
 // stopAccepting refuses new flows and new requests from now on.
 func (d *decider) stopAccepting() {
 	d.stoppedAccepting = true
@@ -189,6 +207,7 @@
 }
 
 func (d *decider) handle(ctx context.Context, frame hickoryring.Frame) {
+	d.applyPendingServices()
 	if d.handover.relaying.Load() {
 		d.relay(ctx, frame)
 		return
@@ -243,7 +262,7 @@
 	case hickoryflow.VerbDeliver:
 		return d.deliver(ctx, action)
 	case hickoryflow.VerbForward:
-		if !d.lease.Allows(d.clock.Now()) {
+		if !d.mayForward || !d.lease.Allows(d.clock.Now()) {
 			return hickorymessage.DropReasonStaleTable, false
 		}
 		encoded, err := d.codec.EncodePacket(action.Packet)
