Ask all agents that may own a flow before it counts as new

Cause: on the encapsulated fabric a claim of a flow queried twelve agents at most and left the others out without a word: with more leaving upstreams than that, the owner was not asked, and the flow got a second owner.

Evidence: three tests of core/hickoryflow failed before the change: TestClaimAsksAllAgents (12 of 40 agents asked, then delivered), TestClaimWaitsForAllAgents (the silent last agent was not asked), TestClaimBeyondBound (delivered).

Change: the other agents are queried when those before have replied, twelve at a time; above 1,024 the claim is incomplete and its packets are dropped as ownerUnknown. Turned down: to query all at once (a burst for each claim while a large service is emptied).

Cost: one query for each leaving upstream and claim instead of twelve at most.

--- a/core/hickoryflow/claim.go
+++ b/core/hickoryflow/claim.go
@@ -19,22 +19,30 @@
 		unheard:      map[hickorymodel.Endpoint]int{},
 		queried:      map[hickorymodel.Endpoint]struct{}{},
 		queriedAgain: map[hickorymodel.Endpoint]struct{}{},
-		nextTryAt:    now,
 	}
 	t.addCandidates(pending, p.Candidates[:p.Candidates.Len()])
 	if p.Generation < t.service.Generation || t.flows.find(&p.Key) != nil {
 		t.addCandidates(pending, t.ownCandidates(now, &p.Key))
 	}
 	t.addCandidates(pending, t.leavingUpstreams())
-	if len(pending.waiting) == 0 {
+	if len(pending.queued) == 0 {
 		t.handleUnowned(now, p, pending.certainty)
 		return
 	}
-	pending.silent = t.claims.silentCandidates(pending.waiting)
 	if !t.claims.add(pending) {
 		t.drop(p, hickorymessage.DropReasonPendingFull)
 		return
 	}
+	t.queryNext(now, pending)
+}
+
+// queryNext queries the next candidates after the ones before have replied.
+func (t *Tracker) queryNext(now hickorymodel.Instant, pending *claim) {
+	pending.takeQueued()
+	pending.silent = t.claims.silentCandidates(pending.waiting)
+	pending.replies = 0
+	clear(pending.unheard)
+	pending.tries = 0
 	t.tryClaim(now, pending)
 }
 
@@ -43,7 +51,7 @@
 	for _, candidate := range candidates {
 		_, excluded := t.excluded[candidate.Endpoint]
 		if !t.isSelf(candidate.Endpoint) && !excluded && pending.markQueried(candidate.Endpoint) {
-			pending.waiting = append(pending.waiting, candidate)
+			pending.queued = append(pending.queued, candidate)
 		}
 	}
 }
@@ -107,7 +115,6 @@
 // timeOutClaim ends a claim whose candidates did not all reply. A missing reply
 // counts as not owning the flow only if the candidate is presumed dead.
 func (t *Tracker) timeOutClaim(now hickorymodel.Instant, pending *claim) {
-	t.claims.remove(pending)
 	for _, candidate := range pending.waiting {
 		if _, named := pending.queriedAgain[candidate.Endpoint]; named {
 			// This agent cannot reach the candidate, but another agent has
@@ -116,6 +123,7 @@
 			return
 		}
 		if !t.presumedDead(now, pending, candidate) {
+			t.claims.remove(pending)
 			t.dropHeld(pending, hickorymessage.DropReasonOwnerUnknown)
 			return
 		}
@@ -123,16 +131,26 @@
 	// No agent can confirm that the candidates presumed dead did not own the
 	// flow.
 	pending.certainty = 0
+	pending.waiting = nil
 	t.finishClaim(now, pending)
 }
 
-// finishClaim handles the held packets of a flow that no agent owns. It checks
-// them again, since the service may have changed while they were held.
+// finishClaim handles the held packets of a flow that no queried agent owns, unless
+// there are more agents to query. It checks the packets again, since the service may
+// have changed while they were held.
 func (t *Tracker) finishClaim(now hickorymodel.Instant, pending *claim) {
+	if len(pending.queued) > 0 {
+		t.queryNext(now, pending)
+		return
+	}
 	t.claims.remove(pending)
 	if t.dropHeldIfInvalid(pending) {
 		return
 	}
+	if pending.incomplete {
+		t.dropHeld(pending, hickorymessage.DropReasonOwnerUnknown)
+		return
+	}
 	t.maskExcluded(pending.held[0])
 	t.handleUnowned(now, pending.held[0], pending.certainty)
 	for _, p := range pending.held[1:] {
--- a/core/hickoryflow/claim_table.go
+++ b/core/hickoryflow/claim_table.go
@@ -12,8 +12,10 @@
 	maxClaims = 256
 	// maxHeldPackets is the largest number of packets held for one claim.
 	maxHeldPackets = 4
-	// maxQueried is the largest number of agents that one claim queries.
+	// maxQueried is the largest number of agents that one claim queries at the same
+	// time, and maxAsked the largest number that it queries one after the other.
 	maxQueried = 2 * hickorymodel.MaxCandidates
+	maxAsked   = 1024
 	// claimTries and claimTryInterval give a candidate 120 ms to reply.
 	claimTries       = 3
 	claimTryInterval = 40 * time.Millisecond
@@ -31,21 +33,27 @@
 	query int
 	// held has at least one packet and at most maxHeldPackets.
 	held []*Packet
-	// queried holds the agents that a query was sent to, at most maxQueried.
+	// queried holds the agents that a query was or will be sent to, at most maxAsked.
 	queried map[hickorymodel.Endpoint]struct{}
+	// queued holds those that get a query when others have replied.
+	queued []hickorymodel.Candidate
+	// incomplete is true once an agent was left out because of maxAsked. It may own the
+	// flow.
+	incomplete bool
 	// queriedAgain holds the agents that were queried once more after another
 	// agent had named them as the owner.
 	queriedAgain map[hickorymodel.Endpoint]struct{}
-	// waiting holds the candidates that have not replied.
+	// waiting holds the candidates that were queried and have not replied, at most
+	// maxQueried and those that were queried again.
 	waiting []hickorymodel.Candidate
 	// certainty is the shortest age of the flow tables of this agent and of the
 	// agents that have replied.
 	certainty time.Duration
-	// silent holds the candidates that had left at least claimTries queries
-	// unanswered when the claim started.
+	// silent holds candidates that had left at least claimTries queries unanswered when
+	// they were queried.
 	silent []hickorymodel.Endpoint
-	// replies counts the replies; unheard counts for each silent candidate the
-	// replies that name it as unheard (see unheardTime).
+	// replies counts the replies since silent was set; unheard counts for each silent
+	// candidate those that name it as unheard (see unheardTime).
 	replies   int
 	unheard   map[hickorymodel.Endpoint]int
 	tries     int
@@ -123,6 +131,15 @@
 	c.silent[to] = s
 }
 
+// takeQueued moves candidates from queued to waiting, up to maxQueried, and returns them.
+func (p *claim) takeQueued() []hickorymodel.Candidate {
+	count := min(len(p.queued), max(maxQueried-len(p.waiting), 0))
+	taken := p.queued[:count:count]
+	p.queued = p.queued[count:]
+	p.waiting = append(p.waiting, taken...)
+	return taken
+}
+
 // removeWaiting removes an agent from the candidates that the claim waits for,
 // and reports whether it was among them.
 func (p *claim) removeWaiting(from hickorymodel.Endpoint) bool {
--- a/core/hickoryflow/query.go
+++ b/core/hickoryflow/query.go
@@ -28,19 +28,22 @@
 // counts as not owning the flow, as if they were suspected: they may have ended
 // long ago.
 func (t *Tracker) queryAlso(now hickorymodel.Instant, pending *claim, others []hickoryid.Endpoint) {
-	var added []hickorymodel.Candidate
+	known := len(pending.queued)
 	for _, text := range others {
 		endpoint, err := hickorymodel.ParseEndpoint(text)
 		_, excluded := t.excluded[endpoint]
 		if err != nil || excluded || t.isSelf(endpoint) || !pending.markQueried(endpoint) {
 			continue
 		}
-		added = append(added, hickorymodel.Candidate{Endpoint: endpoint, State: hickorymodel.CandidateSuspected})
+		pending.queued = append(pending.queued, hickorymodel.Candidate{Endpoint: endpoint, State: hickorymodel.CandidateSuspected})
 	}
-	if len(added) == 0 {
+	if len(pending.queued) == known {
 		return
 	}
-	pending.waiting = append(pending.waiting, added...)
+	added := pending.takeQueued()
+	if len(added) == 0 {
+		return // they follow when others have replied
+	}
 	pending.tries = 1
 	pending.nextTryAt = now.Add(claimTryInterval)
 	t.queryCandidates(now, pending, added)
@@ -72,12 +75,13 @@
 }
 
 // markQueried adds an agent to those that the claim queries. It reports false
-// if the agent was queried before or maxQueried is reached.
+// if the agent was queried before or maxAsked is reached.
 func (p *claim) markQueried(endpoint hickorymodel.Endpoint) bool {
-	if len(p.queried) >= maxQueried {
+	if _, known := p.queried[endpoint]; known {
 		return false
 	}
-	if _, known := p.queried[endpoint]; known {
+	if len(p.queried) >= maxAsked {
+		p.incomplete = true
 		return false
 	}
 	p.queried[endpoint] = struct{}{}
