Name at most six silent candidates in an owner query

Cause: an owner query may name six silent candidates (schema/flow.schema.json), but a claim named all that had not answered lately, up to twelve. Receivers refuse a message above the bound, so nobody answered such a query. TestSilentCandidatesOfQuery failed before the change (more than six in one query).

Change: six are named; the others are not presumed dead, so that the packets are dropped as ownerUnknown until the next claim.

--- a/core/hickoryflow/claim_table.go
+++ b/core/hickoryflow/claim_table.go
@@ -16,6 +16,8 @@
 	// time, and maxAsked the largest number that it queries one after the other.
 	maxQueried = 2 * hickorymodel.MaxCandidates
 	maxAsked   = 1024
+	// maxSilent is the largest number of silent candidates that a query names.
+	maxSilent = hickorymodel.MaxCandidates
 	// claimTries and claimTryInterval give a candidate 120 ms to reply.
 	claimTries       = 3
 	claimTryInterval = 40 * time.Millisecond
@@ -50,7 +52,7 @@
 	// agents that have replied.
 	certainty time.Duration
 	// silent holds candidates that had left at least claimTries queries unanswered when
-	// they were queried.
+	// they were queried, at most maxSilent.
 	silent []hickorymodel.Endpoint
 	// replies counts the replies since silent was set; unheard counts for each silent
 	// candidate those that name it as unheard (see unheardTime).
--- a/core/hickoryflow/claim_test.go
+++ b/core/hickoryflow/claim_test.go
@@ -18,6 +18,8 @@
 	is      *is.I
 	tracker *hickoryflow.Tracker
 	now     hickorymodel.Instant
+	// silent is the largest number of silent candidates that a query has named.
+	silent int
 	// asked are the agents that were queried.
 	asked map[hickorymodel.Endpoint]bool
 	// delivered counts the packets that the agent has delivered as the owner of the flow.
@@ -55,6 +57,7 @@
 			f.delivered++
 		case action.Verb == hickoryflow.VerbSend && action.Datagram.OwnerQuery != nil:
 			f.asked[action.Target] = true
+			f.silent = max(f.silent, len(action.Datagram.OwnerQuery.Silent))
 			if answer := reply(action.Target); answer != nil {
 				answer.Query = action.Datagram.OwnerQuery.Query
 				message := &hickorymessage.Datagram{OwnerReply: answer}
@@ -99,6 +102,22 @@
 	f.is.Equal(f.delivered, 0)
 }
 
+// TestSilentCandidatesOfQuery guards against queries that nobody can decode, since they
+// name more silent candidates than the message may have.
+func TestSilentCandidatesOfQuery(t *testing.T) {
+	f := newClaimFixture(t, 12)
+	nobody := func(hickorymodel.Endpoint) *hickorymessage.OwnerReply { return nil }
+	for range 3 {
+		f.open(nobody)
+		for range 20 {
+			f.now = f.now.Add(hickoryflow.TickInterval)
+			f.exchange(f.tracker.Tick(f.now), nobody)
+		}
+	}
+	f.is.Equal(f.silent, 6)
+	f.is.Equal(f.delivered, 0)
+}
+
 // TestClaimBeyondBound guards against a flow with two owners when replies name more agents
 // than a claim asks, and against queries without end.
 func TestClaimBeyondBound(t *testing.T) {
--- a/core/hickoryflow/silence.go
+++ b/core/hickoryflow/silence.go
@@ -37,11 +37,11 @@
 }
 
 // silentCandidates returns the candidates that have not replied to the last
-// claimTries queries or more.
+// claimTries queries or more, at most maxSilent. The others are not presumed dead.
 func (c *claimTable) silentCandidates(candidates []hickorymodel.Candidate) []hickorymodel.Endpoint {
 	var silent []hickorymodel.Endpoint
 	for _, candidate := range candidates {
-		if c.silent[candidate.Endpoint].tries >= claimTries {
+		if c.silent[candidate.Endpoint].tries >= claimTries && len(silent) < maxSilent {
 			silent = append(silent, candidate.Endpoint)
 		}
 	}
