Review case 6: the same fault as a script, with narrow links

Balancers and agents ran as processes; the connections of the two balancers to the store carried 10 Mbit/s.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review-cold ./review/7/testdata/standin
+go build -o target/review-evacuate ./review/6/testdata/standin
