--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -162,11 +162,11 @@
 // Start starts the duties, which run until Close.
 func (b *Balancer) Start(ctx context.Context) error {
 	b.group = hickoryduty.New(string(b.settings.Instance), b.logger)
-	follower := newStoreFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings, b.clock, b.scope)
+	follower := newStoreFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings, b.clock, b.scope, b.logger)
 	decider := b.newDecider()
 	updater := b.newDirectoryUpdater(follower)
-	stateFetcher := &stateFetcher{client: b.peerClient, stateRequests: b.rings.stateRequests, stateCalls: b.rings.stateCalls, completed: updater.completed, logger: b.logger}
-	changesFetcher := &changesFetcher{client: b.peerClient, changesFetches: b.rings.changesFetches, changesCalls: b.rings.changesCalls, logger: b.logger}
+	stateFetcher := &stateFetcher{client: b.peerClient, stateRequests: b.rings.stateRequests, stateCalls: b.rings.stateCalls, completed: updater.completed, failures: b.peerFailures("state")}
+	changesFetcher := &changesFetcher{client: b.peerClient, changesFetches: b.rings.changesFetches, changesCalls: b.rings.changesCalls, failures: b.peerFailures("changes")}
 	b.group.Add("receive from callers", func(ctx context.Context) error { return b.callerSocket.ReceiveBatches(ctx, b.rings.fromCallers) })
 	b.group.Add("receive from agents", func(ctx context.Context) error { return b.agentSocket.ReceiveBatches(ctx, b.rings.fromAgents) })
 	b.group.Add("decide", decider.run)
@@ -187,6 +187,12 @@
 	return nil
 }
 
+// peerFailures returns what records the failed calls of a method of other balancers.
+func (b *Balancer) peerFailures(method string) peerFailures {
+	failed := b.scope.Tagged(map[string]string{"method": method}).Counter("peer_calls_failed")
+	return peerFailures{method: method, clock: b.clock, logger: b.logger, failed: failed}
+}
+
 func (b *Balancer) newDecider() *balancerDecider {
 	d := &balancerDecider{
 		clock:         b.clock,
@@ -198,6 +204,7 @@
 		callerPackets: &b.callerPackets,
 		serving:       &b.serving,
 		flows:         b.scope.Gauge("flows"),
+		viewWait:      b.scope.Histogram("view_wait", hickorymetric.OpeningTimeBuckets),
 		speeds:        newSpeedGauges(b.scope),
 		dataPort:      b.callerSocket.Endpoint().Port,
 	}
@@ -230,6 +237,7 @@
 		changesCalls:   b.rings.changesCalls,
 		changesFetches: b.rings.changesFetches,
 		setReading:     follower.setReading,
+		viewAge:        b.scope.Gauge("view_age"),
 		rejectedValues: map[hickorydirectory.RejectedValue]bool{},
 		completed:      make(chan struct{}),
 	}
--- a/io/hickoryfabric/balancer_decider.go
+++ b/io/hickoryfabric/balancer_decider.go
@@ -34,13 +34,17 @@
 	callerPackets *atomic.Uint64
 	serving       *atomic.Bool
 	flows         tally.Gauge
-	speeds        *speedGauges
+	// viewWait has the times from a view of the directory to its use.
+	viewWait tally.Histogram
+	speeds   *speedGauges
 	// dataPort is the port to which packets for callers are sent.
 	dataPort uint16
 
 	// lastEventAt is when an event was last handled, by hickoryclock.SinceBoot, which
 	// also counts while the machine is suspended.
 	lastEventAt time.Duration
+	// version is that of the configuration in force.
+	version int
 	// stateComplete is true once steering has a view of the complete state.
 	stateComplete bool
 	start         balancerStart
@@ -107,11 +111,26 @@
 	if update.View != nil {
 		d.stateComplete = update.View.StateComplete
 		d.perform(ctx, d.steering.SetView(d.clock.Now(), update.View))
+		d.recordView(&update)
 	}
 	d.perform(ctx, d.steering.Confirm(d.clock.Now(), update.ConfirmedUntil))
 	d.updateServing()
 }
 
+// lateView is the wait from which on a view is logged whose configuration is not new.
+const lateView = 100 * time.Millisecond
+
+// recordView records that a view is in force.
+func (d *balancerDecider) recordView(update *hickoryring.DirectoryUpdate) {
+	waited := d.clock.Now().Sub(update.PublishedAt)
+	d.viewWait.RecordDuration(waited)
+	if update.View.Version == d.version && waited < lateView {
+		return
+	}
+	d.version = update.View.Version
+	d.logger.Log(hickoryevent.ViewInForce, hickorylog.Fields{"version": d.version, "routes": len(update.View.Routes), "waitedMillis": int(waited.Milliseconds())})
+}
+
 func (d *balancerDecider) tick(ctx context.Context) {
 	d.checkPause()
 	d.perform(ctx, d.steering.Tick(d.clock.Now()))
--- a/io/hickoryfabric/changes.go
+++ b/io/hickoryfabric/changes.go
@@ -6,10 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickoryring"
 	"hickoryworks/io/hickoryrpc"
-	"hickoryworks/schema/hickoryevent"
 	"hickoryworks/schema/hickorymessage"
 )
 
@@ -30,7 +28,7 @@
 	client         *hickoryrpc.Client
 	changesFetches *hickoryring.ChangesFetchRing
 	changesCalls   *hickoryring.ChangesRing
-	logger         *hickorylog.Logger
+	failures       peerFailures
 }
 
 func (f *changesFetcher) run(ctx context.Context) error {
@@ -49,9 +47,10 @@
 	ctx, cancel := context.WithTimeout(ctx, changesWait+changesSlack)
 	defer cancel()
 	call := hickoryring.ChangesCall{Peer: fetch.Peer}
+	sentAt := f.failures.clock.Now()
 	var reply hickorymessage.ChangesReply
 	if err := f.client.Call(ctx, fetch.Peer, changesMethod, &fetch.Request, &reply); err != nil {
-		f.logger.Log(hickoryevent.PeerUnanswered, hickorylog.Fields{"peer": string(fetch.Peer), "error": err.Error()})
+		f.failures.record(fetch.Peer, sentAt, err)
 	} else {
 		call.Answer = &reply
 	}
--- a/io/hickoryfabric/confirmation_test.go
+++ b/io/hickoryfabric/confirmation_test.go
@@ -53,7 +53,7 @@
 	f.is.NoErr(err)
 	t.Cleanup(func() { f.is.NoErr(b.Close()) })
 	f.decider = b.newDecider()
-	f.updater = b.newDirectoryUpdater(newStoreFollower(Store{}, b.random, b.rings, b.clock, b.scope))
+	f.updater = b.newDirectoryUpdater(newStoreFollower(Store{}, b.random, b.rings, b.clock, b.scope, b.logger))
 	return f
 }
 
--- a/io/hickoryfabric/directory_updater.go
+++ b/io/hickoryfabric/directory_updater.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/core/hickorymodel"
 	"hickoryworks/io/hickoryclock"
@@ -61,6 +63,8 @@
 	completed            chan struct{}
 	// changesSentAt is when the last call for changes was sent.
 	changesSentAt hickorymodel.Instant
+	// viewAge is the age of what the balancer knows, in seconds.
+	viewAge tally.Gauge
 	// rejectedValues are the rejected values that have been logged. It has at most
 	// maxRejectedValues entries and is cleared when it is full.
 	rejectedValues map[hickorydirectory.RejectedValue]bool
@@ -162,6 +166,8 @@
 	if u.draining.Load() {
 		u.source.Stop()
 	}
+	age, _ := u.source.Age(now)
+	u.viewAge.Update(age.Seconds())
 	if peer, due := u.peers.Next(now, u.callReason()); due {
 		u.logFirstSource(string(peer))
 		u.stateRequests.Put(hickoryring.StateFetch{
@@ -271,7 +277,7 @@
 		close(u.completed)
 		u.logger.LogStartStep(hickoryevent.DirectoryCompleted, hickorylog.Fields{"source": source, "upstreams": len(view.Upstreams)})
 	}
-	u.views.Put(hickoryring.DirectoryUpdate{View: view, ConfirmedUntil: u.confirmedUntil})
+	u.views.Put(hickoryring.DirectoryUpdate{View: view, PublishedAt: u.clock.Now(), ConfirmedUntil: u.confirmedUntil})
 }
 
 // logFirstSource logs which source is asked first for the state: a balancer, or "store".
--- a/io/hickoryfabric/state_fetcher.go
+++ b/io/hickoryfabric/state_fetcher.go
@@ -6,10 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickoryring"
 	"hickoryworks/io/hickoryrpc"
-	"hickoryworks/schema/hickoryevent"
 	"hickoryworks/schema/hickorymessage"
 )
 
@@ -38,7 +36,7 @@
 	stateCalls    *hickoryring.StateRing
 	// completed is closed once the directory has a complete state.
 	completed <-chan struct{}
-	logger    *hickorylog.Logger
+	failures  peerFailures
 }
 
 func (f *stateFetcher) run(ctx context.Context) error {
@@ -77,6 +75,7 @@
 func (f *stateFetcher) fetch(ctx context.Context, fetch hickoryring.StateFetch) {
 	ctx, cancel := context.WithTimeout(ctx, stateCallTimeout)
 	defer cancel()
+	sentAt := f.failures.clock.Now()
 	var reply hickorymessage.StateReply
 	err := f.client.Connect(ctx, fetch.Peer)
 	if err == nil {
@@ -84,7 +83,7 @@
 		err = f.client.Call(ctx, fetch.Peer, stateMethod, &fetch.Request, &reply)
 	}
 	if err != nil {
-		f.logger.Log(hickoryevent.PeerUnanswered, hickorylog.Fields{"peer": string(fetch.Peer), "error": err.Error()})
+		f.failures.record(fetch.Peer, sentAt, err)
 		f.stateCalls.Put(hickoryring.StateCall{Peer: fetch.Peer})
 		return
 	}
--- a/io/hickoryfabric/state_fetcher_test.go
+++ b/io/hickoryfabric/state_fetcher_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
+	"hickoryworks/io/hickoryclock"
 	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickoryring"
 	"hickoryworks/io/hickoryrpc"
@@ -41,7 +43,8 @@
 			t.Cleanup(func() { is.NoErr(client.Close()) })
 			f := &stateFetcher{
 				client: client, stateRequests: hickoryring.NewStateFetchRing(), stateCalls: hickoryring.NewStateRing(),
-				completed: completed, logger: hickorylog.New(io.Discard, "balancer"),
+				completed: completed,
+				failures:  peerFailures{clock: hickoryclock.New(), logger: hickorylog.New(io.Discard, "balancer"), failed: tally.NoopScope.Counter("failed")},
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := make(chan error, stateFetchers)
--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -9,8 +9,11 @@
 	"github.com/uber-go/tally/v4"
 
 	"hickoryworks/core/hickorydirectory"
+	"hickoryworks/core/hickorymodel"
 	"hickoryworks/io/hickoryclock"
+	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickoryring"
+	"hickoryworks/schema/hickoryevent"
 )
 
 const (
@@ -61,6 +64,7 @@
 	// readRequests ends the wait while reading is false.
 	readRequests *hickoryring.WakeRing
 	callCounters map[storeCall]tally.Counter
+	logger       *hickorylog.Logger
 
 	// listed is true after a listing. The next call is then a watch for changes after
 	// the revision through.
@@ -107,7 +111,7 @@
 	f.callCounters[storeCall{f.kind(), outcome}].Inc(1)
 }
 
-func newStoreFollower(store Store, random *rand.Rand, rings balancerRings, clock *hickoryclock.Clock, scope tally.Scope) *storeFollower {
+func newStoreFollower(store Store, random *rand.Rand, rings balancerRings, clock *hickoryclock.Clock, scope tally.Scope, logger *hickorylog.Logger) *storeFollower {
 	callCounters := map[storeCall]tally.Counter{}
 	for _, kind := range []string{kindListing, kindWatch, kindConfirmation} {
 		for _, outcome := range []string{"answered", "failed", "historyGone"} {
@@ -115,7 +119,7 @@
 		}
 	}
 	return &storeFollower{
-		store: store, random: random, clock: clock, callCounters: callCounters,
+		store: store, random: random, clock: clock, callCounters: callCounters, logger: logger,
 		storeAnswers: rings.storeAnswers, confirmRequests: rings.confirmRequests, readRequests: rings.readRequests,
 	}
 }
@@ -134,6 +138,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if err != nil {
+			f.logFailure(sent, err)
+		}
 		if !f.storeAnswers.Put(ctx, hickoryring.StoreAnswer{Batch: batch, Err: err, SentAt: sent}) {
 			return ctx.Err()
 		}
@@ -143,6 +150,13 @@
 	}
 }
 
+// logFailure logs a failed call that was sent at a time.
+func (f *storeFollower) logFailure(sent hickorymodel.Instant, err error) {
+	f.logger.Log(hickoryevent.StoreCallFailed, hickorylog.Fields{
+		"kind": f.kind(), "after": int(f.through), "elapsedMillis": int(f.clock.Now().Sub(sent).Milliseconds()), "error": err.Error(),
+	})
+}
+
 // setReading sets whether the store is to be watched, and the revision up to which all
 // changes are known.
 func (f *storeFollower) setReading(reading bool, through hickorydirectory.Revision) {
--- a/io/hickoryfabric/store_follower_test.go
+++ b/io/hickoryfabric/store_follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/io/hickoryclock"
+	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickoryring"
 )
 
@@ -23,7 +25,7 @@
 func testFollower(store Store) *storeFollower {
 	store.HistoryGone = func(err error) bool { return errors.Is(err, errHistoryGone) }
 	rings := balancerRings{storeAnswers: hickoryring.NewStoreRing(), confirmRequests: hickoryring.NewWakeRing(), readRequests: hickoryring.NewWakeRing()}
-	return newStoreFollower(store, rand.New(rand.NewPCG(1, 1)), rings, hickoryclock.New(), tally.NoopScope)
+	return newStoreFollower(store, rand.New(rand.NewPCG(1, 1)), rings, hickoryclock.New(), tally.NoopScope, hickorylog.New(io.Discard, "balancer"))
 }
 
 // TestFollowerPauses guards against too many calls to the store: each call is
--- a/io/hickoryring/directory_ring.go
+++ b/io/hickoryring/directory_ring.go
@@ -9,6 +9,8 @@
 type DirectoryUpdate struct {
 	// View is nil if the state has not changed.
 	View *hickorydirectory.View
+	// PublishedAt is when View was made.
+	PublishedAt hickorymodel.Instant
 	// ConfirmedUntil is a time up to which View, or the last view before it, has all
 	// published changes; 0 while the store has not answered.
 	ConfirmedUntil hickorymodel.Instant
@@ -38,6 +40,7 @@
 	case waiting := <-r.items:
 		if update.View == nil {
 			update.View = waiting.View
+			update.PublishedAt = waiting.PublishedAt
 		}
 		update.ConfirmedUntil = max(update.ConfirmedUntil, waiting.ConfirmedUntil)
 	default:
--- a/schema/hickoryevent/event_generated.go
+++ b/schema/hickoryevent/event_generated.go
@@ -139,6 +139,10 @@
 	PeerUnanswered = Event{Number: 1534, Name: "PeerUnanswered", Level: "info", Text: "balancer does not answer"}
 	// SourceChanged: The balancer has begun or ceased to read the store itself. It reads when it finds no other balancer to follow, or when what it hears from others is more than 2.5 s old; the field reading says which, known whether it has a complete state.
 	SourceChanged = Event{Number: 1535, Name: "SourceChanged", Level: "info", Text: "source of changes changed"}
+	// StoreCallFailed: A call to the store got no complete answer in time, or was refused. The fields name the kind of the call, the revision that it asked from and its duration; calls that fail again and again from one revision bring more than their time allows, or the store does not answer.
+	StoreCallFailed = Event{Number: 1536, Name: "StoreCallFailed", Level: "info", Text: "call to the store failed"}
+	// ViewInForce: The decide duty bases its choices on a view with another version of the configuration, or got one late. The field waitedMillis is the time since the directory had it.
+	ViewInForce = Event{Number: 1537, Name: "ViewInForce", Level: "info", Text: "published state in force"}
 	// BecameReady: The configuration and the list of upstreams are complete, and agents answer.
 	BecameReady = Event{Number: 1540, Name: "BecameReady", Level: "info", Text: "ready for packets"}
 	// BecameUnready: The configuration or the list of upstreams is not complete yet, no agent answers, or the process is being stopped.
