--- a/core/hickorydirectory/apply.go
+++ b/core/hickorydirectory/apply.go
@@ -11,11 +11,12 @@
 // Apply applies an answer of the store and reports whether the view has changed.
 func (d *Directory) Apply(now hickorymodel.Instant, batch *Batch) bool {
 	before := d.changeCount
-	if d.storeLost {
+	listsUpstreams := batch.scope().Contains(ScopeUpstreams)
+	if d.storeLost && listsUpstreams {
 		d.storeLost = false
 		d.storeRestoredAt = now
 	}
-	if d.settledAt == 0 {
+	if d.settledAt == 0 && listsUpstreams {
 		// The store may have become available just now.
 		d.settledAt = now.Add(expiryGrace)
 		d.changeCount++
@@ -31,13 +32,13 @@
 	}
 	if batch.Complete {
 		d.removeUnlisted(now, batch)
-		if !d.hasList {
+		if !d.hasList && batch.scope().Contains(ScopeUpstreams|ScopeZones) {
 			d.hasList = true
 			d.changeCount++
 		}
 	}
-	if batch.Complete || batch.Since <= d.through {
-		d.through = max(d.through, batch.Through)
+	if batch.Complete || batch.Since <= d.position.Of(batch.scope()) {
+		d.position.advance(batch.scope(), batch.Through)
 	}
 }
 
@@ -71,8 +72,8 @@
 		return
 	}
 	next := &upstreamRecord{listed: *entry, revision: Revision(entry.Revision), endpoint: endpoint}
-	if !known && Revision(entry.Revision) <= d.through {
-		next.removedAt = now // the changes up to through have removed the entry
+	if !known && Revision(entry.Revision) <= d.position.Upstreams {
+		next.removedAt = now // the changes up to that revision have removed the entry
 	}
 	if remaining := entry.ColdTime.Value(); remaining > 0 {
 		next.coldUntil = now.Add(remaining)
@@ -144,8 +145,8 @@
 	if known && mark.Revision <= record.mark.Revision {
 		return
 	}
-	if !known && mark.Excluded && Revision(mark.Revision) <= d.through {
-		return // the changes up to through have ended the exclusion
+	if !known && mark.Excluded && Revision(mark.Revision) <= d.position.Zones {
+		return // the changes up to that revision have ended the exclusion
 	}
 	next := &zoneRecord{mark: *mark}
 	if known {
@@ -158,28 +159,42 @@
 	d.changeCount++
 }
 
-// removeUnlisted removes upstreams and ends zone exclusions that a complete listing
-// does not contain.
+// removeUnlisted removes upstreams and ends zone exclusions that a complete listing of
+// these parts does not contain.
 func (d *Directory) removeUnlisted(now hickorymodel.Instant, batch *Batch) {
-	listedUpstreams := map[hickoryid.UpstreamID]bool{}
-	listedZones := map[hickoryid.ZoneName]bool{}
+	if batch.scope().Contains(ScopeUpstreams) {
+		d.removeUnlistedUpstreams(now, batch)
+	}
+	if batch.scope().Contains(ScopeZones) {
+		d.returnUnlistedZones(now, batch)
+	}
+}
+
+func (d *Directory) removeUnlistedUpstreams(now hickorymodel.Instant, batch *Batch) {
+	listed := map[hickoryid.UpstreamID]bool{}
 	for i := range batch.Changes {
 		change := &batch.Changes[i]
 		if change.Upstream != nil {
-			listedUpstreams[change.Upstream.ID] = true
+			listed[change.Upstream.ID] = true
 		}
 		if change.Unreadable != nil {
-			listedUpstreams[change.Unreadable.ID] = true
-		}
-		if change.Zone != nil {
-			listedZones[change.Zone.Zone] = true
+			listed[change.Unreadable.ID] = true
 		}
 	}
 	for id := range d.upstreams {
-		if !listedUpstreams[id] {
+		if !listed[id] {
 			d.markRemoved(now, id, batch.Through, 0)
 		}
 	}
+}
+
+func (d *Directory) returnUnlistedZones(now hickorymodel.Instant, batch *Batch) {
+	listedZones := map[hickoryid.ZoneName]bool{}
+	for i := range batch.Changes {
+		if mark := batch.Changes[i].Zone; mark != nil {
+			listedZones[mark.Zone] = true
+		}
+	}
 	for zone, record := range d.zones {
 		if !listedZones[zone] && record.mark.Excluded {
 			d.setZone(now, &hickorymessage.ZoneMark{Zone: zone, Revision: int(batch.Through)})
--- a/core/hickorydirectory/change.go
+++ b/core/hickorydirectory/change.go
@@ -37,9 +37,22 @@
 	// Since is the revision after which the batch has all changes up to Through. A
 	// batch that leaves a gap after what is known does not count up to Through.
 	Since Revision
-	// Complete is true for a listing of the whole state: a record that is neither
-	// in it nor newer than Through does not exist.
-	Complete       bool
-	Changes        []Change
+	// Scope has the parts of the state that the batch covers; 0 stands for all.
+	Scope Scope
+	// Complete is true for a listing of the parts: a record that is neither in it nor
+	// newer than Through does not exist.
+	Complete bool
+	Changes  []Change
+	// Superseded counts the versions of the configuration that the answer had besides the
+	// newest one. They are not decoded.
+	Superseded     int
 	RejectedValues []RejectedValue
 }
+
+// scope returns the parts of the state that the batch covers.
+func (b *Batch) scope() Scope {
+	if b.Scope == 0 {
+		return ScopeAll
+	}
+	return b.Scope
+}
--- a/core/hickorydirectory/directory.go
+++ b/core/hickorydirectory/directory.go
@@ -25,6 +25,10 @@
 // one goroutine owns it.
 type Directory struct {
 	table *hickorymessage.RouteTable
+	// history has the last configurations, so that others get only what has changed.
+	history tableHistory
+	// routes are those of a view of table.
+	routes viewRoutes
 	// tableReadAt and tableUnusableAt are the highest revisions known of a configuration
 	// that can be used and of one that can't.
 	tableReadAt     Revision
@@ -36,8 +40,8 @@
 	// deleted after retention.
 	upstreams map[hickoryid.UpstreamID]*upstreamRecord
 	zones     map[hickoryid.ZoneName]*zoneRecord
-	// through is the highest revision up to which all changes are known.
-	through Revision
+	// position says up to which revisions all changes are known; its version is not used.
+	position Position
 	// forgottenThrough is the highest revision of a removal that was deleted after
 	// retention. Changes since an earlier one cannot be listed any more.
 	forgottenThrough Revision
@@ -97,9 +101,18 @@
 	return d.table.Version
 }
 
-// Through returns the highest revision up to which all changes are known.
+// Through returns the highest revision up to which all changes of the list of upstreams
+// are known.
 func (d *Directory) Through() Revision {
-	return d.through
+	return d.position.Upstreams
+}
+
+// Position returns up to which revisions all changes are known, and the version of the
+// configuration.
+func (d *Directory) Position() Position {
+	position := d.position
+	position.Version = d.Version()
+	return position
 }
 
 // StoreFailed records that a call to the store has failed.
--- a/core/hickorydirectory/directory_test.go
+++ b/core/hickorydirectory/directory_test.go
@@ -71,6 +71,12 @@
 
 type ids = []hickoryid.UpstreamID
 
+// at returns the position of a balancer that has all changes up to a revision, and a
+// version of the configuration.
+func at(through hickorydirectory.Revision, version int) hickorydirectory.Position {
+	return hickorydirectory.Position{Upstreams: through, Zones: through, Table: through, Version: version}
+}
+
 // TestVersionsNeverGoBack guards against a configuration that is replaced by an
 // older one (guarantee P10), from a late answer of the store or from a balancer
 // with an older state.
@@ -108,11 +114,16 @@
 		return &hickorydirectory.Batch{Through: revision, Complete: true, Changes: []hickorydirectory.Change{{Table: table, TableRevision: revision}}}
 	}
 	follow := func() {
-		state := reader.ExportChanges(start, follower.Through(), follower.Version())
+		state, update := reader.ExportChanges(start, follower.Position()), reader.ExportTable(follower.Position())
 		is.True(state != nil)
-		is.True(follower.Merge(start, state))
+		is.True(update != nil)
+		follower.Merge(start, state)
+		changed, err := follower.MergeTable(update, reader.Position().Table)
+		is.NoErr(err)
+		is.True(changed)
 		is.Equal(reader.Digest(), follower.Digest())
 	}
+	follower.Merge(start, &hickorymessage.DirectoryState{}) // a complete, empty list
 	reader.Apply(start, tableAt(7, 10))
 	follow()
 	is.Equal(follower.View(start, wall).RoutesLeftOut, false)
@@ -367,7 +378,7 @@
 			for _, batch := range c.batches {
 				d.Apply(start, batch)
 			}
-			follower.Merge(start, d.ExportChanges(start, 5, 1))
+			follower.Merge(start, d.ExportChanges(start, at(5, 1)))
 			for _, view := range []*hickorydirectory.View{d.View(start, wall), follower.View(start, wall)} {
 				is.Equal(len(view.Upstreams), 1)
 				is.Equal(len(accepting(view)), c.accepting)
@@ -409,7 +420,7 @@
 	follower.Merge(start, reader.Export(start))
 	for revision := 8; revision < 10; revision++ {
 		reader.Apply(start, changes(hickorydirectory.Revision(revision), odd(revision)))
-		follower.Merge(start, reader.ExportChanges(start, 5, 1))
+		follower.Merge(start, reader.ExportChanges(start, at(5, 1)))
 		if revision == 8 {
 			reader.Merge(start, follower.Export(start))
 		}
--- a/core/hickorydirectory/exchange.go
+++ b/core/hickorydirectory/exchange.go
@@ -39,41 +39,65 @@
 // Export returns the whole state for another balancer, or nil while the state is
 // not complete.
 func (d *Directory) Export(now hickorymodel.Instant) *hickorymessage.DirectoryState {
-	return d.exportSince(now, 0, 0)
+	state := d.exportRecords(now, 0)
+	if state != nil {
+		state.Table = d.markedTable()
+		state.TableRevision = int(d.position.Table)
+	}
+	return state
 }
 
-// ExportChanges returns what another balancer lacks that has all changes up to a
-// revision and a version of the configuration. It returns nil if that is nothing.
-func (d *Directory) ExportChanges(now hickorymodel.Instant, since Revision, version int) *hickorymessage.DirectoryState {
-	if !d.HasChanges(since, version) {
+// ExportChanges returns the upstreams and zones that another balancer lacks which is at a
+// position. It returns nil if there is nothing to tell it. The configuration is
+// exchanged on its own, since it can take much longer.
+func (d *Directory) ExportChanges(now hickorymodel.Instant, from Position) *hickorymessage.DirectoryState {
+	if !d.StateComplete() {
 		return nil
 	}
+	tableNews := from.Table < d.position.Table && !d.TableDue(from)
+	news := d.HasChanges(from) || from.Zones < d.position.Zones || tableNews
+	if !news {
+		return nil
+	}
+	since := from.Upstreams
 	if since < d.forgottenThrough {
-		return d.Export(now)
+		since = 0
+	}
+	state := d.exportRecords(now, since)
+	if tableNews {
+		state.TableRevision = int(d.position.Table)
 	}
-	return d.exportSince(now, since, version)
+	return state
+}
+
+// HasChanges reports whether the lists of upstreams and zones have changes after a
+// position.
+func (d *Directory) HasChanges(from Position) bool {
+	return d.StateComplete() && (from.Upstreams < d.position.Upstreams || from.Zones < min(d.newestZoneMark(), d.position.Zones))
 }
 
-// HasChanges reports whether the state has changes after a revision, or a newer
-// version of the configuration.
-func (d *Directory) HasChanges(since Revision, version int) bool {
-	return d.StateComplete() && (since < d.through || version < d.Version())
+// newestZoneMark returns the revision of the newest mark of a zone.
+func (d *Directory) newestZoneMark() Revision {
+	newest := Revision(0)
+	for _, record := range d.zones {
+		newest = max(newest, Revision(record.mark.Revision))
+	}
+	return newest
 }
 
-// exportSince returns the records that are newer than a revision, and the
-// configuration if it is newer than a version.
-func (d *Directory) exportSince(now hickorymodel.Instant, since Revision, version int) *hickorymessage.DirectoryState {
+// exportRecords returns the upstreams that are newer than a revision, and all zones.
+func (d *Directory) exportRecords(now hickorymodel.Instant, since Revision) *hickorymessage.DirectoryState {
 	if !d.StateComplete() {
 		return nil
 	}
 	state := &hickorymessage.DirectoryState{
-		Revision:  int(d.through),
-		Since:     int(since),
-		Upstreams: []hickorymessage.ListedUpstream{},
-		Removed:   []hickorymessage.RemovedUpstream{},
-		Zones:     []hickorymessage.ZoneMark{},
+		Revision:      int(d.position.Upstreams),
+		Since:         int(since),
+		ZonesRevision: int(d.position.Zones),
+		Upstreams:     []hickorymessage.ListedUpstream{},
+		Removed:       []hickorymessage.RemovedUpstream{},
+		Zones:         []hickorymessage.ZoneMark{},
 	}
-	state.Table = d.exportTable(since, version)
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		record := d.upstreams[id]
 		if record.revision <= since && since > 0 {
@@ -90,9 +114,7 @@
 		}
 	}
 	for _, zone := range slices.Sorted(maps.Keys(d.zones)) {
-		if mark := d.zones[zone].mark; since == 0 || Revision(mark.Revision) > since {
-			state.Zones = append(state.Zones, mark)
-		}
+		state.Zones = append(state.Zones, d.zones[zone].mark)
 	}
 	return state
 }
@@ -100,7 +122,8 @@
 // Merge applies the state of another balancer, or its changes since a revision, and
 // reports whether the view has changed.
 func (d *Directory) Merge(now hickorymodel.Instant, state *hickorymessage.DirectoryState) bool {
-	batch := &Batch{Through: Revision(state.Revision), Since: Revision(state.Since), Complete: state.Since == 0}
+	batch := &Batch{Scope: ScopeUpstreams, Through: Revision(state.Revision), Since: Revision(state.Since), Complete: state.Since == 0}
+	zones := &Batch{Scope: ScopeZones, Through: Revision(state.ZonesRevision)}
 	for i := range state.Upstreams {
 		batch.Changes = append(batch.Changes, Change{Upstream: &state.Upstreams[i]})
 	}
@@ -108,12 +131,18 @@
 		batch.Changes = append(batch.Changes, Change{Removed: &state.Removed[i]})
 	}
 	for i := range state.Zones {
-		batch.Changes = append(batch.Changes, Change{Zone: &state.Zones[i]})
+		zones.Changes = append(zones.Changes, Change{Zone: &state.Zones[i]})
 	}
 	before := d.changeCount
 	if state.Table != nil {
-		d.mergeTable(state.Table, batch.Through)
+		d.mergeTable(state.Table, Revision(state.TableRevision))
 	}
+	d.position.advance(ScopeTable, Revision(state.TableRevision))
 	d.apply(now, batch)
+	d.apply(now, zones)
+	if batch.Complete && !d.hasList {
+		d.hasList = true
+		d.changeCount++
+	}
 	return d.changeCount != before
 }
--- a/core/hickorydirectory/source.go
+++ b/core/hickorydirectory/source.go
@@ -62,11 +62,12 @@
 	calledAt hickorymodel.Instant
 	// rejectedUntil has the balancers whose knowledge was not current.
 	rejectedUntil map[hickoryid.Endpoint]hickorymodel.Instant
-	// followedUntil and readUntil are the times up to which all published changes are
-	// known through the parent and by reading the store; 0 for never.
-	followedUntil hickorymodel.Instant
-	readUntil     hickorymodel.Instant
-	// firstReadUntil is the first value of readUntil; 0 before.
+	// followed and read are the times up to which all published changes are known through
+	// the parent and by reading the store.
+	followed knowledge
+	read     knowledge
+	// firstReadUntil is the first time up to which reading the store has given the whole
+	// state; 0 before.
 	firstReadUntil hickorymodel.Instant
 	// storeLost is true from a failed call to the store until the next answer.
 	storeLost bool
@@ -98,9 +99,29 @@
 	return s.parent, true
 }
 
+// knowledge has the time up to which all changes of each part of the published state are
+// known; 0 for never.
+type knowledge [scopeCount]hickorymodel.Instant
+
+// record records that all changes of parts are known up to a time.
+func (k *knowledge) record(scope Scope, until hickorymodel.Instant) {
+	for i := range k {
+		if scope.Contains(1 << i) {
+			k[i] = max(k[i], until)
+		}
+	}
+}
+
+// until returns the time up to which all changes of all parts are known; 0 for never.
+func (k *knowledge) until() hickorymodel.Instant {
+	return slices.Min(k[:])
+}
+
 // RecordAnswer records the answer of the parent, which knew all changes published up
-// to knownUntil. The parent is followed further if its knowledge is current.
-func (s *Source) RecordAnswer(now hickorymodel.Instant, peer hickoryid.Endpoint, current bool, knownUntil hickorymodel.Instant) {
+// to knownUntil. The parts are those that this balancer has with the answer: a
+// configuration comes by a call of its own. The parent is followed further if its
+// knowledge is current.
+func (s *Source) RecordAnswer(now hickorymodel.Instant, peer hickoryid.Endpoint, current bool, knownUntil hickorymodel.Instant, parts Scope) {
 	s.calling = false
 	s.peers.RecordContact(now, peer, "")
 	if !current {
@@ -108,7 +129,13 @@
 		s.parent = ""
 		return
 	}
-	s.followedUntil = max(s.followedUntil, knownUntil)
+	s.followed.record(parts, knownUntil)
+}
+
+// RecordTable records that the parent has sent its configuration, and knew all changes
+// published up to knownUntil when it did.
+func (s *Source) RecordTable(knownUntil hickorymodel.Instant) {
+	s.followed.record(ScopeTable, knownUntil)
 }
 
 // RecordFailure records that the parent has not answered.
@@ -118,20 +145,26 @@
 	s.parent = ""
 }
 
-// RecordRead records an answer of the store that contains all changes published up to
-// a time. A call that the store has not answered yet proves nothing: the store may not
-// have received it.
-func (s *Source) RecordRead(until hickorymodel.Instant) {
-	s.storeLost = false
-	s.readUntil = max(s.readUntil, until)
+// RecordRead records an answer of the store that contains all changes of parts of the
+// state published up to a time. A call that the store has not answered yet proves
+// nothing: the store may not have received it.
+func (s *Source) RecordRead(parts Scope, until hickorymodel.Instant) {
+	if parts.Contains(ScopeUpstreams) {
+		s.storeLost = false
+	}
+	s.read.record(parts, until)
 	if s.firstReadUntil == 0 {
-		s.firstReadUntil = until
+		s.firstReadUntil = s.read.until()
 	}
 }
 
-// RecordStoreFailure records that a call to the store has failed.
-func (s *Source) RecordStoreFailure() {
-	s.storeLost = true
+// RecordStoreFailure records that a call to the store for a part of the state has failed.
+// The list of upstreams is short, so that its calls alone tell whether the store answers;
+// a failure of the others shows by the age of what is known.
+func (s *Source) RecordStoreFailure(part Scope) {
+	if part.Contains(ScopeUpstreams) {
+		s.storeLost = true
+	}
 }
 
 // RecordNoState records that a balancer that was asked for a first state had none, or
@@ -168,16 +201,16 @@
 		return !now.Before(s.FirstReadAt())
 	}
 	s.chooseParent(now)
-	knownUntil := max(s.followedUntil, s.firstReadUntil)
+	knownUntil := max(s.followed.until(), s.firstReadUntil)
 	return s.parent == "" || knownUntil == 0 || now.Sub(knownUntil) > followLimit
 }
 
 // Age returns the age of the balancer's knowledge, and whether that is current, so that
 // others may follow it.
 func (s *Source) Age(now hickorymodel.Instant) (time.Duration, bool) {
-	knownUntil := max(s.followedUntil, s.readUntil)
+	knownUntil := max(s.followed.until(), s.read.until())
 	age := now.Sub(knownUntil)
-	if reading := s.parent == "" || now.Sub(s.followedUntil) > followLimit; reading && s.storeLost {
+	if reading := s.parent == "" || now.Sub(s.followed.until()) > followLimit; reading && s.storeLost {
 		return age, false
 	}
 	return age, knownUntil != 0 && age <= followLimit && !s.stopping
--- a/core/hickorydirectory/source_test.go
+++ b/core/hickorydirectory/source_test.go
@@ -76,9 +76,9 @@
 			f.reads++
 			switch {
 			case f.storeLost[self]:
-				source.RecordStoreFailure()
+				source.RecordStoreFailure(hickorydirectory.ScopeAll)
 			case !f.unanswered[self]:
-				source.RecordRead(f.now)
+				source.RecordRead(hickorydirectory.ScopeAll, f.now)
 			}
 		}
 		parent, due := source.Next(f.now)
@@ -90,7 +90,7 @@
 			continue
 		}
 		age, current := f.sources[parent].Age(f.now)
-		source.RecordAnswer(f.now, parent, current, f.now.Add(-age))
+		source.RecordAnswer(f.now, parent, current, f.now.Add(-age), hickorydirectory.ScopeAll)
 	}
 }
 
@@ -211,7 +211,7 @@
 	source := hickorydirectory.NewSource(start, "10.0.0.1:1", "a", peers)
 	peer, due := source.Next(start)
 	is.True(due)
-	source.RecordAnswer(start, peer, true, start.Add(-2*time.Second))
+	source.RecordAnswer(start, peer, true, start.Add(-2*time.Second), hickorydirectory.ScopeAll)
 	is.True(!source.Reading(start.Add(300*time.Millisecond), true))
 	later := start.Add(2600 * time.Millisecond)
 	is.True(source.Reading(later, true))
@@ -278,9 +278,9 @@
 	reader, follower := hickorydirectory.New(), hickorydirectory.New()
 	reader.Apply(start, listing(9, table(3), upstream(1, 3, false, "0s"), upstream(2, 4, false, "0s"), zone(6, true)))
 	follower.Merge(start, reader.Export(start))
-	is.True(reader.ExportChanges(start, follower.Through(), follower.Version()) == nil)
+	is.True(reader.ExportChanges(start, follower.Position()) == nil)
 	reader.Apply(start, changes(13, removed(1, 11), upstream(3, 12, false, "0s"), zone(13, false)))
-	state := reader.ExportChanges(start, follower.Through(), follower.Version())
+	state := reader.ExportChanges(start, follower.Position())
 	is.Equal(len(state.Upstreams)+len(state.Removed)+len(state.Zones), 3)
 	is.True(state.Table == nil)
 	is.True(follower.Merge(start, state))
@@ -297,7 +297,7 @@
 	follower.Apply(start, listing(5, table(3)))
 	reader.Apply(start, listing(9, table(3), upstream(1, 3, false, "0s")))
 	reader.Apply(start, changes(12, upstream(2, 12, false, "0s")))
-	follower.Merge(start, reader.ExportChanges(start, 9, 3))
+	follower.Merge(start, reader.ExportChanges(start, at(9, 3)))
 	is.Equal(follower.Through(), hickorydirectory.Revision(5))
 }
 
@@ -312,7 +312,7 @@
 	later := start.Add(76 * time.Second)
 	reader.Tick(later)
 	reader.Apply(later, changes(11, upstream(2, 11, false, "0s")))
-	follower.Merge(later, reader.ExportChanges(later, follower.Through(), follower.Version()))
+	follower.Merge(later, reader.ExportChanges(later, follower.Position()))
 	is.Equal(accepting(follower.View(later, wall)), ids{"u-2"})
 }
 
@@ -326,7 +326,7 @@
 	follower.Merge(start, reader.Export(start))
 	reader.StoreFailed()
 	reader.Apply(start, changes(9, removed(1, 8)))
-	follower.Merge(start, reader.ExportChanges(start, follower.Through(), follower.Version()))
+	follower.Merge(start, reader.ExportChanges(start, follower.Position()))
 	late := hickorydirectory.New()
 	late.Merge(start, reader.Export(start))
 	for _, d := range []*hickorydirectory.Directory{follower, late} {
@@ -355,6 +355,6 @@
 	is.True(source.Reading(begun, true)) // the state of another balancer may be old
 	peer, due := source.Next(begun)
 	is.True(due)
-	source.RecordAnswer(begun, peer, true, begun)
+	source.RecordAnswer(begun, peer, true, begun, hickorydirectory.ScopeAll)
 	is.True(!source.Reading(begun, true))
 }
--- a/core/hickorydirectory/table.go
+++ b/core/hickorydirectory/table.go
@@ -13,6 +13,7 @@
 	switch {
 	case change.Table.Version > d.Version():
 		d.table = change.Table
+		d.history.add(change.Table)
 	case change.Table.Version == d.Version() && d.marks(change):
 		marked := *d.table // the other one may lack routes that this one has
 		marked.RoutesLeftOut = true
@@ -60,16 +61,22 @@
 	return d.tableUnusableAt != 0 && d.tableUnusableAt >= d.tableReadAt
 }
 
-// exportTable returns the configuration for a balancer that has all changes up to a
-// revision and a version of the configuration, or nil if that balancer has it.
-func (d *Directory) exportTable(since Revision, version int) *hickorymessage.RouteTable {
+// TableDue reports whether a balancer at a position lacks the configuration of this one, or
+// the mark that it leaves out routes.
+func (d *Directory) TableDue(from Position) bool {
+	if !d.StateComplete() {
+		return false
+	}
 	markedAt := d.tableMarkedAt
 	if d.newestTableUnusable() {
 		markedAt = max(markedAt, d.tableUnusableAt)
 	}
-	if d.Version() <= version && markedAt <= since {
-		return nil
-	}
+	return d.Version() > from.Version || markedAt > from.Table
+}
+
+// markedTable returns the configuration, with the mark that it leaves out routes if the
+// newest one can't be used.
+func (d *Directory) markedTable() *hickorymessage.RouteTable {
 	if !d.newestTableUnusable() || d.table.RoutesLeftOut {
 		return d.table
 	}
--- a/core/hickorydirectory/view.go
+++ b/core/hickorydirectory/view.go
@@ -120,19 +120,17 @@
 
 // View returns the state as of now; wall is the same time by the system clock.
 func (d *Directory) View(now hickorymodel.Instant, wall hickorymodel.WallTime) *View {
-	view := &View{Version: d.Version(), StateComplete: d.StateComplete(), Routes: map[hickorymodel.SocketAddress]*Route{}}
+	view := &View{Version: d.Version(), StateComplete: d.StateComplete()}
 	view.SettledAt = cmp.Or(d.settledAt, NeverSettled)
 	services := map[hickoryid.ServiceName]hickorymessage.RoutedService{}
 	if d.table != nil {
 		view.IdleTimeout = d.table.IdleTimeout.Value()
-		view.RoutesLeftOut = d.table.RoutesLeftOut || d.newestTableUnusable()
 		for _, service := range d.table.Services {
 			services[service.Name] = service
 		}
-		for i := range d.table.Routes {
-			view.addRoute(&d.table.Routes[i], d.table.Terms)
-		}
-		view.markUrgent()
+		routes := d.routesOfView()
+		view.Routes = routes.routes
+		view.RoutesLeftOut = d.table.RoutesLeftOut || routes.leftOut || d.newestTableUnusable()
 	}
 	entries := d.entriesByAddress(now, wall.Add(maxClockError), services)
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
--- a/io/hickoryfabric/balancer.go
+++ b/io/hickoryfabric/balancer.go
@@ -73,11 +73,11 @@
 	// confirmRequests signals to the storeFollower that the decide duty needs
 	// confirmation that it has all published changes.
 	confirmRequests *hickoryring.WakeRing
-	// readRequests signals to the storeFollower that it is to watch the store again.
-	readRequests   *hickoryring.WakeRing
-	changesCalls   *hickoryring.ChangesRing
-	changesFetches *hickoryring.ChangesFetchRing
-	choiceCalls    *hickoryring.ChoiceRing
+	changesCalls    *hickoryring.ChangesRing
+	changesFetches  *hickoryring.ChangesFetchRing
+	tableCalls      *hickoryring.TableRing
+	tableFetches    *hickoryring.TableFetchRing
+	choiceCalls     *hickoryring.ChoiceRing
 }
 
 // BalancerOption changes a balancer at construction.
@@ -111,9 +111,10 @@
 			stateCalls:      hickoryring.NewStateRing(),
 			stateRequests:   hickoryring.NewStateFetchRing(),
 			confirmRequests: hickoryring.NewWakeRing(),
-			readRequests:    hickoryring.NewWakeRing(),
 			changesCalls:    hickoryring.NewChangesRing(),
 			changesFetches:  hickoryring.NewChangesFetchRing(),
+			tableCalls:      hickoryring.NewTableRing(),
+			tableFetches:    hickoryring.NewTableFetchRing(),
 			choiceCalls:     hickoryring.NewChoiceRing(),
 		},
 	}
@@ -142,7 +143,7 @@
 	if b.controlServer, err = hickoryrpc.Listen(b.settings.ControlEndpoint); err != nil {
 		return err
 	}
-	if err = b.controlServer.Register(stateService, &stateReceiver{stateCalls: b.rings.stateCalls, changesCalls: b.rings.changesCalls}); err != nil {
+	if err = b.controlServer.Register(stateService, &stateReceiver{stateCalls: b.rings.stateCalls, changesCalls: b.rings.changesCalls, tableCalls: b.rings.tableCalls}); err != nil {
 		return err
 	}
 	if err = b.controlServer.Register(choiceService, &choiceReceiver{choiceCalls: b.rings.choiceCalls}); err != nil {
@@ -162,23 +163,27 @@
 // Start starts the duties, which run until Close.
 func (b *Balancer) Start(ctx context.Context) error {
 	b.group = hickoryduty.New(string(b.settings.Instance), b.logger)
-	follower := newStoreFollower(b.store, rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64())), b.rings, b.clock, b.scope, b.logger)
+	followers := b.newStoreFollowers()
 	decider := b.newDecider()
-	updater := b.newDirectoryUpdater(follower)
+	updater := b.newDirectoryUpdater(followers)
 	stateFetcher := &stateFetcher{client: b.peerClient, stateRequests: b.rings.stateRequests, stateCalls: b.rings.stateCalls, completed: updater.completed, failures: b.peerFailures("state")}
 	changesFetcher := &changesFetcher{client: b.peerClient, changesFetches: b.rings.changesFetches, changesCalls: b.rings.changesCalls, failures: b.peerFailures("changes")}
+	tableFetcher := &tableFetcher{client: b.peerClient, tableFetches: b.rings.tableFetches, tableCalls: b.rings.tableCalls, failures: b.peerFailures("table")}
 	b.group.Add("receive from callers", func(ctx context.Context) error { return b.callerSocket.ReceiveBatches(ctx, b.rings.fromCallers) })
 	b.group.Add("receive from agents", func(ctx context.Context) error { return b.agentSocket.ReceiveBatches(ctx, b.rings.fromAgents) })
 	b.group.Add("decide", decider.run)
 	b.group.Add("send to agents", func(ctx context.Context) error { return b.agentSocket.SendBatches(ctx, b.rings.toAgents) })
 	b.group.Add("send to callers", func(ctx context.Context) error { return b.callerSocket.SendBatches(ctx, b.rings.toCallers) })
-	b.group.Add("follow the store", follower.run)
+	for _, follower := range followers {
+		b.group.Add("follow the store: "+follower.scope.String(), follower.run)
+	}
 	b.group.Add("keep the directory", updater.run)
 	b.group.Add("ask balancers", stateFetcher.run)
 	for i := 1; i < stateFetchers; i++ {
 		b.group.Add(fmt.Sprintf("ask balancers for a first state %d", i), stateFetcher.runUntilComplete)
 	}
 	b.group.Add("follow a balancer", changesFetcher.run)
+	b.group.Add("fetch the configuration", tableFetcher.run)
 	b.group.Add("control", b.controlServer.Serve)
 	b.group.Add("readiness", b.readyServer.serve)
 	addMetrics(b.group, b.exporter, b.scope,
@@ -214,7 +219,17 @@
 	return d
 }
 
-func (b *Balancer) newDirectoryUpdater(follower *storeFollower) *directoryUpdater {
+// newStoreFollowers returns a follower for each part of the published state.
+func (b *Balancer) newStoreFollowers() []*storeFollower {
+	followers := []*storeFollower{}
+	for _, part := range []hickorydirectory.Scope{hickorydirectory.ScopeUpstreams, hickorydirectory.ScopeZones, hickorydirectory.ScopeTable} {
+		random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
+		followers = append(followers, newStoreFollower(b.store, part, random, b.rings, b.clock, b.scope, b.logger))
+	}
+	return followers
+}
+
+func (b *Balancer) newDirectoryUpdater(followers []*storeFollower) *directoryUpdater {
 	random := rand.New(rand.NewPCG(b.random.Uint64(), b.random.Uint64()))
 	self := b.controlServer.Endpoint()
 	directory := hickorydirectory.New()
@@ -236,7 +251,13 @@
 		views:          b.rings.views,
 		changesCalls:   b.rings.changesCalls,
 		changesFetches: b.rings.changesFetches,
-		setReading:     follower.setReading,
+		tableCalls:     b.rings.tableCalls,
+		tableFetches:   b.rings.tableFetches,
+		setReading: func(reading bool, known hickorydirectory.Position) {
+			for _, follower := range followers {
+				follower.setReading(reading, known)
+			}
+		},
 		viewAge:        b.scope.Gauge("view_age"),
 		rejectedValues: map[hickorydirectory.RejectedValue]bool{},
 		completed:      make(chan struct{}),
--- a/io/hickoryfabric/changes.go
+++ b/io/hickoryfabric/changes.go
@@ -17,9 +17,12 @@
 	// has a change. It bounds how long a follower does not know that its source is
 	// current.
 	changesWait = 250 * time.Millisecond
-	// changesSlack is added to changesWait for the timeout of a call: some round trips
-	// and the delay of a busy process.
+	// changesSlack is added to changesWait for the time in which nothing of an answer
+	// arrives: some round trips and the delay of a busy process.
 	changesSlack = 450 * time.Millisecond
+	// changesTimeout bounds a call whose answer, which may list thousands of upstreams,
+	// keeps arriving, but too slowly to be of use.
+	changesTimeout = 5 * time.Second
 )
 
 // changesFetcher asks the balancer that this one follows for changes, one call at a
@@ -44,12 +47,12 @@
 
 // fetch calls one balancer. A failed call is passed on without an answer.
 func (f *changesFetcher) fetch(ctx context.Context, fetch hickoryring.ChangesFetch) {
-	ctx, cancel := context.WithTimeout(ctx, changesWait+changesSlack)
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
 	call := hickoryring.ChangesCall{Peer: fetch.Peer}
 	sentAt := f.failures.clock.Now()
 	var reply hickorymessage.ChangesReply
-	if err := f.client.Call(ctx, fetch.Peer, changesMethod, &fetch.Request, &reply); err != nil {
+	if err := f.client.CallUntilSilent(ctx, changesWait+changesSlack, fetch.Peer, changesMethod, &fetch.Request, &reply); err != nil {
 		f.failures.record(fetch.Peer, sentAt, err)
 	} else {
 		call.Answer = &reply
--- a/io/hickoryfabric/changes_waiters.go
+++ b/io/hickoryfabric/changes_waiters.go
@@ -55,7 +55,8 @@
 func (w *changesWaiters) due(now hickorymodel.Instant, waiter *changesWaiter) bool {
 	request := waiter.call.Request
 	_, current := w.source.Age(now)
-	return !current || !now.Before(waiter.until) || w.directory.HasChanges(hickorydirectory.Revision(request.Revision), request.Version)
+	position := positionOf(request)
+	return !current || !now.Before(waiter.until) || w.directory.HasChanges(position) || (!request.TablePending && w.directory.TableDue(position))
 }
 
 func (w *changesWaiters) answer(now hickorymodel.Instant, waiter *changesWaiter) {
@@ -65,6 +66,15 @@
 		Current:    current,
 		AgeMillis:  int(max(age, 0).Milliseconds()),
 		HeldMillis: int(now.Sub(waiter.since).Milliseconds()),
-		State:      w.directory.ExportChanges(now, hickorydirectory.Revision(request.Revision), request.Version),
+		TableDue:   w.directory.TableDue(positionOf(request)),
+		State:      w.directory.ExportChanges(now, positionOf(request)),
+	}
+}
+
+// positionOf returns the position of the balancer that has sent a request.
+func positionOf(request *hickorymessage.ChangesRequest) hickorydirectory.Position {
+	return hickorydirectory.Position{
+		Upstreams: hickorydirectory.Revision(request.Revision), Zones: hickorydirectory.Revision(request.ZonesRevision),
+		Table: hickorydirectory.Revision(request.TableRevision), Version: request.Version,
 	}
 }
--- a/io/hickoryfabric/confirmation_test.go
+++ b/io/hickoryfabric/confirmation_test.go
@@ -53,13 +53,13 @@
 	f.is.NoErr(err)
 	t.Cleanup(func() { f.is.NoErr(b.Close()) })
 	f.decider = b.newDecider()
-	f.updater = b.newDirectoryUpdater(newStoreFollower(Store{}, b.random, b.rings, b.clock, b.scope, b.logger))
+	f.updater = b.newDirectoryUpdater(nil)
 	return f
 }
 
 // answer passes an answer of the store to the directoryUpdater.
 func (f *confirmationFixture) answer(batch *hickorydirectory.Batch) {
-	f.updater.handleStoreAnswer(hickoryring.StoreAnswer{Batch: batch, SentAt: f.updater.clock.Now()})
+	f.updater.handleStoreAnswer(hickoryring.StoreAnswer{Scope: hickorydirectory.ScopeAll, Batch: batch, SentAt: f.updater.clock.Now()})
 }
 
 // takeUpdate passes what waits in the ring to the decide duty.
@@ -105,13 +105,13 @@
 	f.answer(listing())
 	confirmed := <-f.decider.rings.views.Items()
 	f.is.True(confirmed.ConfirmedUntil > 0)
-	follower := testFollower(Store{Watch: func(context.Context, hickorydirectory.Revision, time.Duration) (*hickorydirectory.Batch, error) {
+	follower := testFollower(Store{Watch: func(context.Context, hickorydirectory.Scope, hickorydirectory.Revision, time.Duration, time.Duration) (*hickorydirectory.Batch, error) {
 		f.is.Equal(len(f.decider.rings.views.Items()), 0)
 		return nil, errFailed
 	}})
 	follower.listed = true
 	_, err := follower.callStore(t.Context())
-	f.updater.handleStoreAnswer(hickoryring.StoreAnswer{Err: err, SentAt: f.updater.clock.Now()})
+	f.updater.handleStoreAnswer(hickoryring.StoreAnswer{Scope: hickorydirectory.ScopeAll, Err: err, SentAt: f.updater.clock.Now()})
 	f.is.Equal(len(f.decider.rings.views.Items()), 0)
 	f.is.Equal(f.updater.confirmedUntil, confirmed.ConfirmedUntil)
 }
--- a/io/hickoryfabric/directory_updater.go
+++ b/io/hickoryfabric/directory_updater.go
@@ -46,15 +46,20 @@
 	// changesFetches those that this balancer is to send.
 	changesCalls   *hickoryring.ChangesRing
 	changesFetches *hickoryring.ChangesFetchRing
-	// setReading is called with the revision up to which all changes are known, and
-	// with whether the storeFollower is to watch the store.
-	setReading func(reading bool, through hickorydirectory.Revision)
+	// tableCalls carries calls for the configuration, of this balancer and of others;
+	// tableFetches those that this balancer is to send.
+	tableCalls   *hickoryring.TableRing
+	tableFetches *hickoryring.TableFetchRing
+	tablePull    tablePull
+	// setReading is called with whether the storeFollowers are to watch the store, and up
+	// to which revisions all changes are known.
+	setReading func(reading bool, known hickorydirectory.Position)
 
-	// confirmedUntil is when the last answered call to the store was sent: all changes
-	// published before it are applied.
+	// confirmedUntil is when the last answered call to the store for the upstreams was sent:
+	// all changes of theirs that were published before it are applied.
 	confirmedUntil hickorymodel.Instant
-	// storeLost is true from a failed call to the store until the next answer.
-	storeLost bool
+	// lost has the parts of the published state whose last call to the store has failed.
+	lost hickorydirectory.Scope
 	// reading is true while the storeFollower watches the store.
 	reading bool
 	// asked and stateComplete are true once the first source has been asked and the state
@@ -91,6 +96,8 @@
 			u.handleStateCall(call)
 		case call := <-u.changesCalls.Items():
 			u.handleChangesCall(call)
+		case call := <-u.tableCalls.Items():
+			u.handleTableCall(call)
 		case <-ticker.C:
 			u.tick()
 		}
@@ -109,15 +116,18 @@
 		u.reading = reading
 		u.logger.Log(hickoryevent.SourceChanged, hickorylog.Fields{"reading": reading, "known": stateComplete, "through": int(u.directory.Through())})
 	}
-	u.setReading(reading, u.directory.Through())
+	u.setReading(reading, u.directory.Position())
 	u.waiters.answerDue(now)
 	if !stateComplete {
 		return
 	}
 	if peer, due := u.source.Next(now); due {
 		u.changesSentAt = now
+		u.expireTablePull()
+		position := u.directory.Position()
 		u.changesFetches.Put(hickoryring.ChangesFetch{Peer: peer, Request: hickorymessage.ChangesRequest{
-			Sender: u.self, Zone: u.zone, Revision: int(u.directory.Through()), Version: u.directory.Version(),
+			Sender: u.self, Zone: u.zone, Revision: int(position.Upstreams), Version: position.Version,
+			ZonesRevision: int(position.Zones), TableRevision: int(position.Table), TablePending: u.tablePull.pending,
 			WaitMillis: int(changesWait.Milliseconds()),
 		}})
 	}
@@ -135,10 +145,15 @@
 		if call.Answer.State != nil && u.directory.Merge(now, call.Answer.State) {
 			u.publish(string(call.Peer))
 		}
+		parts := hickorydirectory.ScopeAll
+		if call.Answer.TableDue {
+			parts = hickorydirectory.ScopeUpstreams | hickorydirectory.ScopeZones
+			u.pullTable(call.Peer)
+		}
 		// The answer was sent after the call had been held; when it is late, it is older
 		// than it seems by its arrival.
 		answeredAt := u.changesSentAt.Add(time.Duration(call.Answer.HeldMillis) * time.Millisecond)
-		u.source.RecordAnswer(now, call.Peer, call.Answer.Current, answeredAt.Add(-time.Duration(call.Answer.AgeMillis)*time.Millisecond))
+		u.source.RecordAnswer(now, call.Peer, call.Answer.Current, answeredAt.Add(-time.Duration(call.Answer.AgeMillis)*time.Millisecond), parts)
 	default:
 		u.source.RecordFailure(now, call.Peer)
 	}
@@ -149,7 +164,7 @@
 	switch {
 	case !u.directory.StateComplete():
 		return hickorydirectory.CallIncomplete
-	case u.storeLost && u.reading:
+	case u.lost.Contains(hickorydirectory.ScopeUpstreams) && u.reading:
 		return hickorydirectory.CallStoreLost
 	default:
 		return hickorydirectory.CallRoutine
@@ -170,33 +185,34 @@
 	u.viewAge.Update(age.Seconds())
 	if peer, due := u.peers.Next(now, u.callReason()); due {
 		u.logFirstSource(string(peer))
-		u.stateRequests.Put(hickoryring.StateFetch{
-			Peer:    peer,
-			Request: hickorymessage.StateRequest{Sender: u.self, Zone: &u.zone, Digest: u.directory.Digest()},
-		})
+		position := u.directory.Position()
+		u.stateRequests.Put(hickoryring.StateFetch{Peer: peer, Request: hickorymessage.StateRequest{
+			Sender: u.self, Zone: &u.zone, Digest: u.directory.Digest(), Version: position.Version, TableRevision: int(position.Table),
+		}})
 	}
 }
 
 // handleStoreAnswer applies the outcome of a call to the store.
 func (u *directoryUpdater) handleStoreAnswer(answer hickoryring.StoreAnswer) {
 	if answer.Err != nil {
-		if !u.storeLost {
-			u.logger.Log(hickoryevent.StoreLost, hickorylog.Fields{"error": answer.Err.Error(), "through": int(u.directory.Through())})
-		}
-		u.storeLost = true
-		u.source.RecordStoreFailure()
-		u.directory.StoreFailed()
+		u.handleStoreFailure(answer)
 		return
 	}
-	if u.storeLost {
-		u.storeLost = false
-		u.logger.Log(hickoryevent.StoreRegained, hickorylog.Fields{"through": int(answer.Batch.Through)})
+	if u.lost&answer.Scope != 0 {
+		u.lost &^= answer.Scope
+		u.logger.Log(hickoryevent.StoreRegained, hickorylog.Fields{"part": answer.Scope.String(), "through": int(answer.Batch.Through)})
 	}
 	u.logRejectedValues(answer.Batch.RejectedValues)
-	u.confirmedUntil = answer.SentAt
-	// The answer itself may have taken maxAnswerTime; before that, the store has held
-	// the call until there was a change.
-	u.source.RecordRead(max(answer.SentAt, u.clock.Now().Add(-maxAnswerTime)))
+	readUntil := answer.SentAt
+	if answer.Scope.Contains(hickorydirectory.ScopeUpstreams) {
+		u.confirmedUntil = answer.SentAt
+	}
+	if answer.Scope != hickorydirectory.ScopeTable {
+		// The answer itself may have taken maxAnswerTime; before that, the store has held
+		// the call until there was a change. A configuration may take longer.
+		readUntil = max(readUntil, u.clock.Now().Add(-maxAnswerTime))
+	}
+	u.source.RecordRead(answer.Scope, readUntil)
 	if u.directory.Apply(u.clock.Now(), answer.Batch) {
 		u.publish("store")
 		return
@@ -204,6 +220,20 @@
 	u.views.Put(hickoryring.DirectoryUpdate{ConfirmedUntil: u.confirmedUntil})
 }
 
+// handleStoreFailure handles a failed call to the store.
+func (u *directoryUpdater) handleStoreFailure(answer hickoryring.StoreAnswer) {
+	if !u.lost.Contains(answer.Scope) {
+		u.logger.Log(hickoryevent.StoreLost, hickorylog.Fields{
+			"part": answer.Scope.String(), "error": answer.Err.Error(), "through": int(u.directory.Position().Of(answer.Scope)),
+		})
+	}
+	u.lost |= answer.Scope
+	u.source.RecordStoreFailure(answer.Scope)
+	if answer.Scope.Contains(hickorydirectory.ScopeUpstreams) {
+		u.directory.StoreFailed()
+	}
+}
+
 // logRejectedValues logs each rejected value once: its writer may repeat it with each
 // heartbeat, and every listing contains it.
 func (u *directoryUpdater) logRejectedValues(values []hickorydirectory.RejectedValue) {
@@ -233,6 +263,11 @@
 		reply := hickorymessage.StateReply{Peers: []hickoryid.Endpoint{}, Members: u.peers.Members(now), Settled: u.directory.Settled(now)}
 		if call.Request.Digest != u.directory.Digest() {
 			reply.State = u.directory.Export(now)
+			reply.TableDue = u.directory.TableDue(tablePosition(call.Request.Version, call.Request.TableRevision))
+			if call.Request.Version != 0 && reply.State != nil {
+				reply.State.Table = nil
+				reply.State.TableRevision = 0
+			}
 		}
 		call.Reply <- reply
 	case call.Answer != nil:
@@ -240,6 +275,9 @@
 		u.peers.AddMembers(now, call.Answer.Members)
 		// The state is whole, or the digest has shown that this directory has it.
 		changed := call.Answer.State != nil && u.directory.Merge(now, call.Answer.State)
+		if call.Answer.TableDue && u.directory.StateComplete() {
+			u.pullTable(call.Peer)
+		}
 		changed = (call.Answer.Settled && u.directory.StateComplete() && u.directory.Settle(now)) || changed
 		if call.Answer.State == nil {
 			u.source.RecordNoState()
--- a/io/hickoryfabric/fixture_test.go
+++ b/io/hickoryfabric/fixture_test.go
@@ -181,7 +181,7 @@
 	change  *hickorydirectory.Batch
 	// down makes all calls fail.
 	down bool
-	// watches is the number of pending watches.
+	// watches is the number of pending watches of the upstreams.
 	watches int
 	// changed is closed when change is set.
 	changed chan struct{}
@@ -216,9 +216,11 @@
 }
 
 // watch returns the change after a revision, or an empty batch after the wait.
-func (s *storeStandin) watch(ctx context.Context, after hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error) {
-	s.count(1)
-	defer s.count(-1)
+func (s *storeStandin) watch(ctx context.Context, part hickorydirectory.Scope, after hickorydirectory.Revision, wait, _ time.Duration) (*hickorydirectory.Batch, error) {
+	if part == hickorydirectory.ScopeUpstreams { // one for each balancer that reads
+		s.count(1)
+		defer s.count(-1)
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -242,7 +244,7 @@
 	s.watches += watches
 }
 
-// pendingWatches returns the number of pending watches.
+// pendingWatches returns the number of pending watches of the upstreams.
 func (s *storeStandin) pendingWatches() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -252,7 +254,7 @@
 // functions returns the functions that a balancer calls.
 func (s *storeStandin) functions() hickoryfabric.Store {
 	return hickoryfabric.Store{
-		List: func(context.Context, time.Duration) (*hickorydirectory.Batch, error) {
+		List: func(context.Context, hickorydirectory.Scope, time.Duration) (*hickorydirectory.Batch, error) {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
 			if s.down {
--- a/io/hickoryfabric/full_rings_test.go
+++ b/io/hickoryfabric/full_rings_test.go
@@ -113,11 +113,15 @@
 // never comes, because the call met a full ring: it asks another one after the error.
 func TestFullCallRingsRefuseCalls(t *testing.T) {
 	is := is.New(t)
-	receiver := &stateReceiver{stateCalls: hickoryring.NewStateRing(), changesCalls: hickoryring.NewChangesRing()}
+	receiver := &stateReceiver{stateCalls: hickoryring.NewStateRing(), changesCalls: hickoryring.NewChangesRing(), tableCalls: hickoryring.NewTableRing()}
 	for receiver.stateCalls.Put(hickoryring.StateCall{}) {
 	}
 	for receiver.changesCalls.Put(hickoryring.ChangesCall{}) {
 	}
+	for receiver.tableCalls.Put(hickoryring.TableCall{}) {
+	}
+	var table hickorymessage.TableReply
+	is.True(receiver.Table(hickorymessage.TableRequest{}, &table) != nil)
 	var state hickorymessage.StateReply
 	is.True(receiver.State(hickorymessage.StateRequest{}, &state) != nil)
 	var changes hickorymessage.ChangesReply
@@ -129,7 +133,7 @@
 func TestManyWaitingCalls(t *testing.T) {
 	f := newConfirmationFixture(t)
 	f.answer(listing())
-	request := &hickorymessage.ChangesRequest{Sender: "10.0.0.9:7000", Zone: "a", Revision: 1, Version: 1, WaitMillis: 10000}
+	request := &hickorymessage.ChangesRequest{Sender: "10.0.0.9:7000", Zone: "a", Revision: 1, ZonesRevision: 1, TableRevision: 1, Version: 1, WaitMillis: 10000}
 	replies := make(chan hickorymessage.ChangesReply, maxChangesWaiters+1)
 	for range maxChangesWaiters {
 		f.updater.handleChangesCall(hickoryring.ChangesCall{Request: request, Reply: replies})
--- a/io/hickoryfabric/state_fetcher.go
+++ b/io/hickoryfabric/state_fetcher.go
@@ -8,6 +8,7 @@
 
 	"hickoryworks/io/hickoryring"
 	"hickoryworks/io/hickoryrpc"
+	"hickoryworks/schema/hickoryid"
 	"hickoryworks/schema/hickorymessage"
 )
 
@@ -16,8 +17,11 @@
 	// directory.
 	stateService = "directory"
 	stateMethod  = stateService + ".State"
-	// stateCallTimeout bounds one call to another balancer.
+	// stateCallTimeout bounds one call to another balancer that sends nothing.
 	stateCallTimeout = 700 * time.Millisecond
+	// stateReadTimeout bounds one whose answer, which may have a configuration of thousands
+	// of routes, keeps arriving, but too slowly to be of use.
+	stateReadTimeout = 10 * time.Second
 	// stateFetchers is the number of duties that call other balancers. While a call to
 	// one that does not run waits for stateCallTimeout, a balancer without a state asks
 	// others. Once it has a state, one of the duties calls: the states of several balancers
@@ -73,14 +77,14 @@
 // fetch calls one balancer. A failed call is passed on without an answer, so that
 // the balancer is removed from the list of peers.
 func (f *stateFetcher) fetch(ctx context.Context, fetch hickoryring.StateFetch) {
-	ctx, cancel := context.WithTimeout(ctx, stateCallTimeout)
-	defer cancel()
 	sentAt := f.failures.clock.Now()
 	var reply hickorymessage.StateReply
-	err := f.client.Connect(ctx, fetch.Peer)
+	err := f.connect(ctx, fetch.Peer)
 	if err == nil {
 		f.stateCalls.Put(hickoryring.StateCall{Peer: fetch.Peer, Reached: true})
-		err = f.client.Call(ctx, fetch.Peer, stateMethod, &fetch.Request, &reply)
+		ctx, cancel := context.WithTimeout(ctx, stateReadTimeout)
+		defer cancel()
+		err = f.client.CallUntilSilent(ctx, stateCallTimeout, fetch.Peer, stateMethod, &fetch.Request, &reply)
 	}
 	if err != nil {
 		f.failures.record(fetch.Peer, sentAt, err)
@@ -90,11 +94,20 @@
 	f.stateCalls.Put(hickoryring.StateCall{Peer: fetch.Peer, Answer: &reply})
 }
 
+// connect opens a connection to a balancer.
+func (f *stateFetcher) connect(ctx context.Context, peer hickoryid.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, stateCallTimeout)
+	defer cancel()
+	return f.client.Connect(ctx, peer)
+}
+
 // stateReceiver passes the calls of other balancers to the directoryUpdater, which
 // answers them.
 type stateReceiver struct {
 	stateCalls   *hickoryring.StateRing
 	changesCalls *hickoryring.ChangesRing
+	tableCalls   *hickoryring.TableRing
+	tables       tableEncoder
 }
 
 // State replies with the known balancers and, when the digest in the request
--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -17,20 +17,24 @@
 )
 
 const (
-	// pageTimeout bounds each page of a listing: a store that is 60 times slower than
-	// usual takes 240 ms. A store that was silent does not answer the calls of that
-	// time any more, and callers wait for the first listing. Each patientAttempt-th
-	// attempt waits for slowPageTimeout, in case the store is slower still.
-	pageTimeout     = 500 * time.Millisecond
-	slowPageTimeout = 2 * time.Second
+	// pageSilence bounds the time in which nothing of a page of a listing arrives: a store
+	// that is 60 times slower than usual takes 240 ms. A store that was silent does not
+	// answer the calls of that time any more, and callers wait for the first listing. Each
+	// patientAttempt-th attempt waits for slowPageSilence, in case the store is slower
+	// still.
+	pageSilence     = 500 * time.Millisecond
+	slowPageSilence = 2 * time.Second
 	patientAttempt  = 4
-	// watchWait is how long the store holds a watch without changes; watchSlack is
-	// added to it for the timeout of the call. When a connection breaks without an
+	// watchWait is how long the store holds a watch without changes; watchSilence bounds
+	// the time after that in which nothing arrives. When a connection breaks without an
 	// error, this balancer and those that follow it miss changes for the sum of both
 	// at most, which must stay below the time within which a change has to take
 	// effect. Few balancers watch, so that the watch can be short.
-	watchWait  = 500 * time.Millisecond
-	watchSlack = 700 * time.Millisecond
+	watchWait    = 500 * time.Millisecond
+	watchSilence = 700 * time.Millisecond
+	// readTimeout bounds a call whose answer keeps arriving, but too slowly to be of use:
+	// the largest answer takes 7 s over 10 Mbit/s.
+	readTimeout = 10 * time.Second
 	// maxAnswerTime is the longest time that a healthy store takes to answer.
 	maxAnswerTime = 300 * time.Millisecond
 	// batchPause is the pause after an answer with changes, also of keys that
@@ -51,15 +55,19 @@
 	backoffLimit = 800 * time.Millisecond
 )
 
-// storeFollower reads the published state from the store: one listing, then watches
-// for changes, while the directoryUpdater wants it to. Otherwise it only calls the
+// storeFollower reads one part of the published state from the store: a listing, then
+// watches for changes, while the directoryUpdater wants it to. Otherwise it only calls the
 // store for a confirmation. Each outcome of a call goes to the directoryUpdater.
 type storeFollower struct {
-	store        Store
+	store Store
+	// scope is the part that is watched. The follower of the upstreams lists the whole
+	// state at the start of the process; the others begin when that is known.
+	scope        hickorydirectory.Scope
+	tableReads   hickorydirectory.TableReads
 	random       *rand.Rand
 	storeAnswers *hickoryring.StoreRing
 	// confirmRequests shortens the pause before the next call: the decide duty needs
-	// confirmation that it has all published changes.
+	// confirmation that it has all upstreams. It is only used for their part.
 	confirmRequests *hickoryring.WakeRing
 	// readRequests ends the wait while reading is false.
 	readRequests *hickoryring.WakeRing
@@ -77,8 +85,8 @@
 
 	clock *hickoryclock.Clock
 	// reading is true while the store is to be watched, and knownThrough is the
-	// revision up to which the directory has all changes. The directoryUpdater writes
-	// both.
+	// revision up to which the directory has all changes of the part. The directoryUpdater
+	// writes both.
 	reading      atomic.Bool
 	knownThrough atomic.Int64
 }
@@ -98,7 +106,7 @@
 // kind returns the kind of the call that callStore sends next.
 func (f *storeFollower) kind() string {
 	switch {
-	case !f.listed:
+	case f.lists():
 		return kindListing
 	case f.confirming:
 		return kindConfirmation
@@ -111,22 +119,37 @@
 	f.callCounters[storeCall{f.kind(), outcome}].Inc(1)
 }
 
-func newStoreFollower(store Store, random *rand.Rand, rings balancerRings, clock *hickoryclock.Clock, scope tally.Scope, logger *hickorylog.Logger) *storeFollower {
+func newStoreFollower(store Store, part hickorydirectory.Scope, random *rand.Rand, rings balancerRings, clock *hickoryclock.Clock, scope tally.Scope, logger *hickorylog.Logger) *storeFollower {
 	callCounters := map[storeCall]tally.Counter{}
+	scope = scope.Tagged(map[string]string{"part": part.String()})
 	for _, kind := range []string{kindListing, kindWatch, kindConfirmation} {
 		for _, outcome := range []string{"answered", "failed", "historyGone"} {
 			callCounters[storeCall{kind, outcome}] = scope.Tagged(map[string]string{"kind": kind, "outcome": outcome}).Counter("store_calls")
 		}
 	}
-	return &storeFollower{
-		store: store, random: random, clock: clock, callCounters: callCounters, logger: logger,
-		storeAnswers: rings.storeAnswers, confirmRequests: rings.confirmRequests, readRequests: rings.readRequests,
+	f := &storeFollower{
+		store: store, scope: part, random: random, clock: clock, callCounters: callCounters, logger: logger,
+		storeAnswers: rings.storeAnswers, confirmRequests: hickoryring.NewWakeRing(), readRequests: hickoryring.NewWakeRing(),
 	}
+	if f.isFirst() {
+		f.confirmRequests = rings.confirmRequests
+	}
+	return f
+}
+
+// isFirst reports whether the follower lists the whole state at the start, and confirms.
+func (f *storeFollower) isFirst() bool {
+	return f.scope == hickorydirectory.ScopeUpstreams
+}
+
+// lists reports whether the next call is a listing.
+func (f *storeFollower) lists() bool {
+	return !f.listed || f.tableReads.NewestOnly()
 }
 
 // run follows the store until the context ends.
 func (f *storeFollower) run(ctx context.Context) error {
-	if f.store.Connect != nil && !f.listed {
+	if f.store.Connect != nil && f.isFirst() && !f.listed {
 		f.store.Connect(ctx)
 	}
 	for {
@@ -134,6 +157,7 @@
 			return err
 		}
 		sent := f.clock.Now()
+		scope := f.callScope()
 		batch, err := f.callStore(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -141,10 +165,10 @@
 		if err != nil {
 			f.logFailure(sent, err)
 		}
-		if !f.storeAnswers.Put(ctx, hickoryring.StoreAnswer{Batch: batch, Err: err, SentAt: sent}) {
+		if !f.storeAnswers.Put(ctx, hickoryring.StoreAnswer{Scope: scope, Batch: batch, Err: err, SentAt: sent}) {
 			return ctx.Err()
 		}
-		if err := f.waitForNextCall(ctx, f.recordOutcome(batch, err), err == nil); err != nil {
+		if err := f.waitForNextCall(ctx, f.recordOutcome(batch, err, f.clock.Now().Sub(sent)), err == nil); err != nil {
 			return err
 		}
 	}
@@ -153,13 +177,15 @@
 // logFailure logs a failed call that was sent at a time.
 func (f *storeFollower) logFailure(sent hickorymodel.Instant, err error) {
 	f.logger.Log(hickoryevent.StoreCallFailed, hickorylog.Fields{
-		"kind": f.kind(), "after": int(f.through), "elapsedMillis": int(f.clock.Now().Sub(sent).Milliseconds()), "error": err.Error(),
+		"kind": f.kind(), "part": f.scope.String(), "after": int(f.through), "elapsedMillis": int(f.clock.Now().Sub(sent).Milliseconds()), "error": err.Error(),
 	})
 }
 
-// setReading sets whether the store is to be watched, and the revision up to which all
-// changes are known.
-func (f *storeFollower) setReading(reading bool, through hickorydirectory.Revision) {
+// setReading sets whether the store is to be watched, and up to which revisions all
+// changes are known. Only the first follower reads before anything is known.
+func (f *storeFollower) setReading(reading bool, known hickorydirectory.Position) {
+	through := known.Of(f.scope)
+	reading = reading && (f.isFirst() || through > 0)
 	f.knownThrough.Store(int64(through))
 	if f.reading.Swap(reading) != reading && reading {
 		f.readRequests.Put()
@@ -181,26 +207,36 @@
 	return nil
 }
 
+// callScope returns the part that the next call is for, which is the whole state before
+// anything is known.
+func (f *storeFollower) callScope() hickorydirectory.Scope {
+	if f.isFirst() && f.through == 0 && f.knownThrough.Load() == 0 {
+		return hickorydirectory.ScopeAll
+	}
+	return f.scope
+}
+
 // callStore sends one listing or watch.
 func (f *storeFollower) callStore(ctx context.Context) (*hickorydirectory.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	scope := f.callScope()
 	if known := hickorydirectory.Revision(f.knownThrough.Load()); known > f.through {
 		f.through = known
-		f.listed = true // by another balancer
+		f.listed = true // by another balancer, or together with another part
 	}
-	if !f.listed {
-		timeout := pageTimeout
+	if f.lists() {
+		silence := pageSilence
 		if (f.failures+1)%patientAttempt == 0 {
-			timeout = slowPageTimeout
+			silence = slowPageSilence
 		}
-		return f.store.List(ctx, timeout)
+		return f.store.List(ctx, scope, silence)
 	}
 	wait := watchWait
 	if f.confirming {
 		wait = confirmWatchWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
-	return f.store.Watch(ctx, f.through, wait)
+	return f.store.Watch(ctx, f.scope, f.through, wait, watchSilence)
 }
 
 // waitForNextCall waits between two calls. A request for confirmation shortens the
@@ -243,18 +279,14 @@
 	}
 }
 
-// recordOutcome records the outcome of a call and returns the pause before the next
-// one.
-func (f *storeFollower) recordOutcome(batch *hickorydirectory.Batch, err error) time.Duration {
+// recordOutcome records the outcome of a call that took some time, and returns the pause
+// before the next one.
+func (f *storeFollower) recordOutcome(batch *hickorydirectory.Batch, err error, took time.Duration) time.Duration {
 	if err == nil {
 		f.count("answered")
 		f.failures = 0
 		f.listed = true
-		if batch.Through <= f.through {
-			return 0 // the store has held the watch
-		}
-		f.through = batch.Through
-		return batchPause
+		return f.recordAnswer(batch, took)
 	}
 	if f.store.HistoryGone(err) {
 		f.count("historyGone")
@@ -262,6 +294,9 @@
 		return 0
 	}
 	f.count("failed")
+	if f.scope == hickorydirectory.ScopeTable {
+		f.tableReads.RecordFailure()
+	}
 	wait := backoffBase
 	if f.listed { // callers do not wait for the next answer
 		wait = min(backoffBase<<min(f.failures, 8), backoffLimit)
@@ -270,6 +305,22 @@
 	return wait/2 + time.Duration(f.random.Int64N(int64(wait)))
 }
 
+// recordAnswer records an answer and returns the pause before the next call.
+func (f *storeFollower) recordAnswer(batch *hickorydirectory.Batch, took time.Duration) time.Duration {
+	newer := batch.Through > f.through
+	f.through = max(f.through, batch.Through)
+	if f.scope == hickorydirectory.ScopeTable {
+		if f.tableReads.RecordAnswer(batch) {
+			return f.tableReads.Pause(took, batchPause)
+		}
+		newer = newer && !batch.Complete
+	}
+	if held := took >= watchWait && len(batch.Changes) == 0; !newer || held {
+		return 0
+	}
+	return batchPause
+}
+
 // sleep waits for the given time. It returns the error of the context if that ends
 // first.
 func sleep(ctx context.Context, wait time.Duration) error {
--- a/io/hickoryfabric/store_follower_test.go
+++ b/io/hickoryfabric/store_follower_test.go
@@ -23,9 +23,14 @@
 )
 
 func testFollower(store Store) *storeFollower {
+	return testFollowerOf(hickorydirectory.ScopeUpstreams, store)
+}
+
+// testFollowerOf returns a follower of a part of the published state.
+func testFollowerOf(part hickorydirectory.Scope, store Store) *storeFollower {
 	store.HistoryGone = func(err error) bool { return errors.Is(err, errHistoryGone) }
-	rings := balancerRings{storeAnswers: hickoryring.NewStoreRing(), confirmRequests: hickoryring.NewWakeRing(), readRequests: hickoryring.NewWakeRing()}
-	return newStoreFollower(store, rand.New(rand.NewPCG(1, 1)), rings, hickoryclock.New(), tally.NoopScope, hickorylog.New(io.Discard, "balancer"))
+	rings := balancerRings{storeAnswers: hickoryring.NewStoreRing(), confirmRequests: hickoryring.NewWakeRing()}
+	return newStoreFollower(store, part, rand.New(rand.NewPCG(1, 1)), rings, hickoryclock.New(), tally.NoopScope, hickorylog.New(io.Discard, "balancer"))
 }
 
 // TestFollowerPauses guards against too many calls to the store: each call is
@@ -34,14 +39,14 @@
 	is := is.New(t)
 	f := testFollower(Store{})
 	for range 20 {
-		is.True(f.recordOutcome(nil, errFailed) < 2*backoffBase) // callers wait for the first listing
+		is.True(f.recordOutcome(nil, errFailed, 0) < 2*backoffBase) // callers wait for the first listing
 	}
-	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 4}, nil), batchPause)       // a key of no meaning has changed
-	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 4}, nil), time.Duration(0)) // the store held the watch
-	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 5, Changes: make([]hickorydirectory.Change, 1)}, nil), batchPause)
+	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 4}, nil, 0), batchPause)       // a key of no meaning has changed
+	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 4}, nil, 0), time.Duration(0)) // the store held the watch
+	is.Equal(f.recordOutcome(&hickorydirectory.Batch{Through: 5, Changes: make([]hickorydirectory.Change, 1)}, nil, 0), batchPause)
 	longest := time.Duration(0)
 	for range 20 {
-		wait := f.recordOutcome(nil, errFailed)
+		wait := f.recordOutcome(nil, errFailed, 0)
 		is.True(wait >= backoffBase/2)
 		longest = max(longest, wait)
 	}
@@ -56,11 +61,11 @@
 	is := is.New(t)
 	calls := ""
 	f := testFollower(Store{
-		List: func(context.Context, time.Duration) (*hickorydirectory.Batch, error) {
+		List: func(context.Context, hickorydirectory.Scope, time.Duration) (*hickorydirectory.Batch, error) {
 			calls += "L"
 			return &hickorydirectory.Batch{Through: 7}, nil
 		},
-		Watch: func(_ context.Context, after hickorydirectory.Revision, _ time.Duration) (*hickorydirectory.Batch, error) {
+		Watch: func(_ context.Context, _ hickorydirectory.Scope, after hickorydirectory.Revision, _, _ time.Duration) (*hickorydirectory.Batch, error) {
 			calls += "W"
 			is.Equal(after, hickorydirectory.Revision(7))
 			return nil, errFailed
@@ -68,9 +73,9 @@
 	})
 	for range 3 {
 		batch, err := f.callStore(t.Context())
-		f.recordOutcome(batch, err)
+		f.recordOutcome(batch, err, 0)
 	}
-	f.recordOutcome(nil, errHistoryGone)
+	f.recordOutcome(nil, errHistoryGone, 0)
 	_, _ = f.callStore(t.Context())
 	is.Equal(calls, "LWWL")
 }
@@ -85,18 +90,20 @@
 		is.True(time.Until(deadline) <= limit)
 	}
 	f := testFollower(Store{
-		List: func(_ context.Context, timeout time.Duration) (*hickorydirectory.Batch, error) {
-			is.Equal(timeout, pageTimeout)
+		List: func(_ context.Context, _ hickorydirectory.Scope, timeout time.Duration) (*hickorydirectory.Batch, error) {
+			is.Equal(timeout, pageSilence)
 			return &hickorydirectory.Batch{}, nil
 		},
-		Watch: func(ctx context.Context, _ hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error) {
-			requireDeadline(ctx, wait+watchSlack)
+		Watch: func(ctx context.Context, _ hickorydirectory.Scope, _ hickorydirectory.Revision, wait, silence time.Duration) (*hickorydirectory.Batch, error) {
+			requireDeadline(ctx, readTimeout)
+			is.Equal(wait, watchWait)
+			is.Equal(silence, watchSilence)
 			return &hickorydirectory.Batch{}, nil
 		},
 	})
 	for range 2 {
 		batch, err := f.callStore(t.Context())
-		f.recordOutcome(batch, err)
+		f.recordOutcome(batch, err, 0)
 	}
 }
 
@@ -125,7 +132,7 @@
 	is.True(f.confirming)
 	is.True(time.Since(begun) >= minCallPause) // each call is billed
 	waits := []time.Duration{}
-	f.store.Watch = func(_ context.Context, _ hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error) {
+	f.store.Watch = func(_ context.Context, _ hickorydirectory.Scope, _ hickorydirectory.Revision, wait, _ time.Duration) (*hickorydirectory.Batch, error) {
 		waits = append(waits, wait)
 		return &hickorydirectory.Batch{}, nil
 	}
@@ -151,18 +158,18 @@
 }
 
 // TestListingOfSlowStore guards against a listing that never succeeds because the store
-// needs longer than pageTimeout, and against one that waits long for a store that was
+// needs longer than pageSilence, and against one that waits long for a store that was
 // silent when it was asked and answers again since.
 func TestListingOfSlowStore(t *testing.T) {
 	is := is.New(t)
 	timeouts := []time.Duration{}
-	f := testFollower(Store{List: func(_ context.Context, timeout time.Duration) (*hickorydirectory.Batch, error) {
+	f := testFollower(Store{List: func(_ context.Context, _ hickorydirectory.Scope, timeout time.Duration) (*hickorydirectory.Batch, error) {
 		timeouts = append(timeouts, timeout)
 		return nil, errFailed
 	}})
 	for range 5 {
 		batch, err := f.callStore(t.Context())
-		f.recordOutcome(batch, err)
+		f.recordOutcome(batch, err, 0)
 	}
-	is.Equal(timeouts, []time.Duration{pageTimeout, pageTimeout, pageTimeout, slowPageTimeout, pageTimeout})
+	is.Equal(timeouts, []time.Duration{pageSilence, pageSilence, pageSilence, slowPageSilence, pageSilence})
 }
--- a/io/hickoryfabric/translation.go
+++ b/io/hickoryfabric/translation.go
@@ -32,11 +32,13 @@
 	// Connect prepares a listing: it opens connections, while the first state may yet come
 	// from another balancer. It is nil for a store that needs none.
 	Connect func(ctx context.Context)
-	// List reads the whole state. It fails when a page takes longer than pageTimeout.
-	List func(ctx context.Context, pageTimeout time.Duration) (*hickorydirectory.Batch, error)
-	// Watch returns the changes after a revision. Without a change it returns an empty
-	// batch after the wait.
-	Watch func(ctx context.Context, after hickorydirectory.Revision, wait time.Duration) (*hickorydirectory.Batch, error)
+	// List reads the newest records of a part of the published state, or of the whole. It
+	// fails when a page stays silent for longer than silence.
+	List func(ctx context.Context, scope hickorydirectory.Scope, silence time.Duration) (*hickorydirectory.Batch, error)
+	// Watch returns the changes of a part of the published state after a revision. Without
+	// a change it returns an empty batch after the wait. It fails when the store stays
+	// silent after the wait for longer than silence.
+	Watch func(ctx context.Context, scope hickorydirectory.Scope, after hickorydirectory.Revision, wait, silence time.Duration) (*hickorydirectory.Batch, error)
 	// HistoryGone reports whether a watch failed because the store no longer has all
 	// changes after the revision, so that a listing is needed.
 	HistoryGone func(error) bool
--- a/io/hickoryring/store_ring.go
+++ b/io/hickoryring/store_ring.go
@@ -9,6 +9,8 @@
 
 // StoreAnswer is the outcome of one call to the store.
 type StoreAnswer struct {
+	// Scope is the part of the published state that the call was for.
+	Scope hickorydirectory.Scope
 	// Batch is nil when Err is set.
 	Batch *hickorydirectory.Batch
 	Err   error
@@ -21,7 +23,7 @@
 const storeCapacity = 4
 
 // StoreRing carries answers of the store to the directory updater. A full ring
-// blocks the sender, since a dropped change would not be read again.
+// blocks a sender, since a dropped change would not be read again.
 type StoreRing struct {
 	items chan StoreAnswer
 }
--- a/io/hickoryrpc/client.go
+++ b/io/hickoryrpc/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"hickoryworks/io/hickorysilence"
 	"hickoryworks/schema/hickoryid"
 )
 
@@ -29,10 +30,17 @@
 	mutex sync.Mutex
 	// idle holds at most one connection for each peer and maxIdleConnections in all,
 	// none of them in a call.
-	idle   map[hickoryid.Endpoint]*rpc.Client
+	idle   map[hickoryid.Endpoint]*connection
 	closed bool
 }
 
+// connection is a connection to a peer.
+type connection struct {
+	*rpc.Client
+	// stream counts what arrives on the connection.
+	stream *meteredConn
+}
+
 // ClientOption changes a client at construction.
 type ClientOption func(*Client)
 
@@ -46,7 +54,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(options ...ClientOption) *Client {
-	c := &Client{meter: &Meter{}, compressing: true, idle: map[hickoryid.Endpoint]*rpc.Client{}}
+	c := &Client{meter: &Meter{}, compressing: true, idle: map[hickoryid.Endpoint]*connection{}}
 	for _, option := range options {
 		option(c)
 	}
@@ -64,9 +72,16 @@
 // it again. A call that an idle connection did not take, because the peer has closed it
 // since, is sent on a new one.
 func (c *Client) Call(ctx context.Context, peer hickoryid.Endpoint, method string, request, reply any) error {
+	return c.CallUntilSilent(ctx, 0, peer, method, request, reply)
+}
+
+// CallUntilSilent is Call, and also fails when nothing arrives from the peer for a time; 0
+// stands for no such limit. An answer that is long, or that a narrow link brings slowly, is
+// waited for until the context ends.
+func (c *Client) CallUntilSilent(ctx context.Context, silence time.Duration, peer hickoryid.Endpoint, method string, request, reply any) error {
 	connection := c.takeIdle(peer)
 	if connection != nil {
-		err := c.callOn(ctx, connection, peer, method, request, reply)
+		err := c.callOn(ctx, silence, connection, peer, method, request, reply)
 		if !errors.Is(err, rpc.ErrShutdown) {
 			return err
 		}
@@ -75,7 +90,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "connect to %s for %s", peer, method)
 	}
-	return c.callOn(ctx, connection, peer, method, request, reply)
+	return c.callOn(ctx, silence, connection, peer, method, request, reply)
 }
 
 // Connect opens a connection to a peer for later calls, unless there is one.
@@ -93,7 +108,16 @@
 
 // callOn calls a method on a connection and keeps the connection for later calls if it
 // still works.
-func (c *Client) callOn(ctx context.Context, connection *rpc.Client, peer hickoryid.Endpoint, method string, request, reply any) error {
+func (c *Client) callOn(ctx context.Context, silence time.Duration, connection *connection, peer hickoryid.Endpoint, method string, request, reply any) error {
+	if silence > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		limit := hickorysilence.Start(0, silence, cancel)
+		defer limit.Stop()
+		connection.stream.setProgress(limit.Progress)
+		defer connection.stream.setProgress(nil)
+	}
 	call := connection.Go(method, request, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -112,7 +136,7 @@
 }
 
 // takeIdle returns the idle connection to a peer, or nil if there is none.
-func (c *Client) takeIdle(peer hickoryid.Endpoint) *rpc.Client {
+func (c *Client) takeIdle(peer hickoryid.Endpoint) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	connection := c.idle[peer]
@@ -121,25 +145,26 @@
 }
 
 // connect opens a connection to a peer.
-func (c *Client) connect(ctx context.Context, peer hickoryid.Endpoint) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context, peer hickoryid.Endpoint) (*connection, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", string(peer))
 	if err != nil {
 		return nil, err
 	}
-	stream := c.meter.wrap(conn)
+	metered := c.meter.wrap(conn)
+	stream := net.Conn(metered)
 	if c.compressing {
 		if stream, err = compress(stream); err != nil {
 			_ = conn.Close()
 			return nil, err
 		}
 	}
-	return jsonrpc.NewClient(stream), nil
+	return &connection{Client: jsonrpc.NewClient(stream), stream: metered}, nil
 }
 
 // releaseConnection keeps a connection for later calls, or closes it when the peer has
 // an idle connection already, the client is closed or maxIdleConnections are idle.
-func (c *Client) releaseConnection(peer hickoryid.Endpoint, connection *rpc.Client) {
+func (c *Client) releaseConnection(peer hickoryid.Endpoint, connection *connection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if _, alreadyIdle := c.idle[peer]; alreadyIdle || c.closed || len(c.idle) >= maxIdleConnections {
--- a/io/hickoryrpc/meter.go
+++ b/io/hickoryrpc/meter.go
@@ -23,7 +23,7 @@
 }
 
 // wrap returns conn with its bytes counted by the meter.
-func (m *Meter) wrap(conn net.Conn) net.Conn {
+func (m *Meter) wrap(conn net.Conn) *meteredConn {
 	return &meteredConn{Conn: conn, meter: m}
 }
 
@@ -31,12 +31,26 @@
 type meteredConn struct {
 	net.Conn
 	meter *Meter
+	// progress is called with each read that brings something; nil for none.
+	progress atomic.Pointer[func()]
+}
+
+// setProgress sets what is called with each read that brings something; nil for nothing.
+func (c *meteredConn) setProgress(progress func()) {
+	if progress == nil {
+		c.progress.Store(nil)
+		return
+	}
+	c.progress.Store(&progress)
 }
 
 // Read reads from the connection and counts the bytes.
 func (c *meteredConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	c.meter.received.Add(uint64(n))
+	if progress := c.progress.Load(); progress != nil && n > 0 {
+		(*progress)()
+	}
 	return n, err
 }
 
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -22,6 +22,10 @@
 
 	// State corresponds to the JSON schema field "state".
 	State *DirectoryState `json:"state,omitempty,omitzero" yaml:"state,omitempty"`
+
+	// TableDue is true when the replying balancer has a configuration that the sender
+	// lacks. It is sent in a call of its own.
+	TableDue bool `json:"tableDue,omitempty,omitzero" yaml:"tableDue,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -50,6 +54,9 @@
 	if 0 > plain.HeldMillis {
 		return fmt.Errorf("field %s: must be >= %v", "heldMillis", 0)
 	}
+	if v, ok := raw["tableDue"]; !ok || v == nil {
+		plain.TableDue = false
+	}
 	*j = ChangesReply(plain)
 	return nil
 }
@@ -57,12 +64,21 @@
 // ChangesRequest asks a balancer for the changes of the published state that the
 // sender does not have.
 type ChangesRequest struct {
-	// Revision is the revision up to which the sender has all changes.
+	// Revision is the revision up to which the sender has all changes of the list of
+	// upstreams.
 	Revision int `json:"revision" yaml:"revision"`
 
 	// Sender is the control socket of the balancer that sends the request.
 	Sender hickoryid.Endpoint `json:"sender" yaml:"sender"`
 
+	// TablePending is true while the sender receives a configuration already. The
+	// receiver then does not answer for the sake of another one.
+	TablePending bool `json:"tablePending,omitempty,omitzero" yaml:"tablePending,omitempty"`
+
+	// TableRevision is the revision up to which the sender has all changes of the
+	// configuration.
+	TableRevision int `json:"tableRevision,omitempty,omitzero" yaml:"tableRevision,omitempty"`
+
 	// Version is the version of the sender's configuration.
 	Version int `json:"version" yaml:"version"`
 
@@ -71,6 +87,9 @@
 
 	// Zone is the zone of the sender.
 	Zone hickoryid.ZoneName `json:"zone" yaml:"zone"`
+
+	// ZonesRevision is the revision up to which the sender has all changes of zones.
+	ZonesRevision int `json:"zonesRevision,omitempty,omitzero" yaml:"zonesRevision,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -102,6 +121,15 @@
 	if 0 > plain.Revision {
 		return fmt.Errorf("field %s: must be >= %v", "revision", 0)
 	}
+	if v, ok := raw["tablePending"]; !ok || v == nil {
+		plain.TablePending = false
+	}
+	if v, ok := raw["tableRevision"]; !ok || v == nil {
+		plain.TableRevision = 0
+	}
+	if 0 > plain.TableRevision {
+		return fmt.Errorf("field %s: must be >= %v", "tableRevision", 0)
+	}
 	if 0 > plain.Version {
 		return fmt.Errorf("field %s: must be >= %v", "version", 0)
 	}
@@ -111,6 +139,12 @@
 	if 0 > plain.WaitMillis {
 		return fmt.Errorf("field %s: must be >= %v", "waitMillis", 0)
 	}
+	if v, ok := raw["zonesRevision"]; !ok || v == nil {
+		plain.ZonesRevision = 0
+	}
+	if 0 > plain.ZonesRevision {
+		return fmt.Errorf("field %s: must be >= %v", "zonesRevision", 0)
+	}
 	*j = ChangesRequest(plain)
 	return nil
 }
@@ -334,11 +368,18 @@
 	// Table corresponds to the JSON schema field "table".
 	Table *RouteTable `json:"table,omitempty,omitzero" yaml:"table,omitempty"`
 
+	// TableRevision is the revision up to which the receiver knows all changes of the
+	// configuration with this state; 0 if the state says nothing of it.
+	TableRevision int `json:"tableRevision,omitempty,omitzero" yaml:"tableRevision,omitempty"`
+
 	// Upstreams corresponds to the JSON schema field "upstreams".
 	Upstreams []ListedUpstream `json:"upstreams" yaml:"upstreams"`
 
 	// Zones corresponds to the JSON schema field "zones".
 	Zones []ZoneMark `json:"zones" yaml:"zones"`
+
+	// ZonesRevision is the revision up to which the marks of zones are complete.
+	ZonesRevision int `json:"zonesRevision,omitempty,omitzero" yaml:"zonesRevision,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -376,12 +417,24 @@
 	if 0 > plain.Since {
 		return fmt.Errorf("field %s: must be >= %v", "since", 0)
 	}
+	if v, ok := raw["tableRevision"]; !ok || v == nil {
+		plain.TableRevision = 0
+	}
+	if 0 > plain.TableRevision {
+		return fmt.Errorf("field %s: must be >= %v", "tableRevision", 0)
+	}
 	if len(plain.Upstreams) > 65536 {
 		return fmt.Errorf("field %s length: must be <= %d", "upstreams", 65536)
 	}
 	if len(plain.Zones) > 1024 {
 		return fmt.Errorf("field %s length: must be <= %d", "zones", 1024)
 	}
+	if v, ok := raw["zonesRevision"]; !ok || v == nil {
+		plain.ZonesRevision = 0
+	}
+	if 0 > plain.ZonesRevision {
+		return fmt.Errorf("field %s: must be >= %v", "zonesRevision", 0)
+	}
 	*j = DirectoryState(plain)
 	return nil
 }
@@ -818,6 +871,10 @@
 
 	// State corresponds to the JSON schema field "state".
 	State *DirectoryState `json:"state,omitempty,omitzero" yaml:"state,omitempty"`
+
+	// TableDue is true when the replying balancer has a configuration that the sender
+	// lacks. It is sent in a call of its own.
+	TableDue bool `json:"tableDue,omitempty,omitzero" yaml:"tableDue,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -843,6 +900,9 @@
 	if v, ok := raw["settled"]; !ok || v == nil {
 		plain.Settled = false
 	}
+	if v, ok := raw["tableDue"]; !ok || v == nil {
+		plain.TableDue = false
+	}
 	*j = StateReply(plain)
 	return nil
 }
@@ -856,6 +916,14 @@
 	// Sender is the control socket of the balancer that sends the request.
 	Sender hickoryid.Endpoint `json:"sender" yaml:"sender"`
 
+	// TableRevision is the revision up to which the sender has all changes of the
+	// configuration.
+	TableRevision int `json:"tableRevision,omitempty,omitzero" yaml:"tableRevision,omitempty"`
+
+	// Version is the version of the sender's configuration. If it is not 0, the state
+	// in the reply has no configuration.
+	Version int `json:"version,omitempty,omitzero" yaml:"version,omitempty"`
+
 	// Zone is the zone of the sender; balancers of older versions do not name it.
 	Zone *hickoryid.ZoneName `json:"zone,omitempty,omitzero" yaml:"zone,omitempty"`
 }
@@ -880,10 +948,153 @@
 	if utf8.RuneCountInString(string(plain.Digest)) > 32 {
 		return fmt.Errorf("field %s length: must be <= %d", "digest", 32)
 	}
+	if v, ok := raw["tableRevision"]; !ok || v == nil {
+		plain.TableRevision = 0
+	}
+	if 0 > plain.TableRevision {
+		return fmt.Errorf("field %s: must be >= %v", "tableRevision", 0)
+	}
+	if v, ok := raw["version"]; !ok || v == nil {
+		plain.Version = 0
+	}
+	if 0 > plain.Version {
+		return fmt.Errorf("field %s: must be >= %v", "version", 0)
+	}
 	*j = StateRequest(plain)
 	return nil
 }
 
+// TableReply answers a TableRequest.
+type TableReply struct {
+	// AgeMillis is how long before the reply, in milliseconds, the replying balancer
+	// knew all published changes.
+	AgeMillis int `json:"ageMillis" yaml:"ageMillis"`
+
+	// Revision is the revision up to which the replying balancer has all changes of
+	// the configuration.
+	Revision int `json:"revision" yaml:"revision"`
+
+	// Update is a TableUpdate as JSON, compressed with DEFLATE, in base64. It is
+	// empty if the sender of the request lacks nothing.
+	Update string `json:"update,omitempty,omitzero" yaml:"update,omitempty"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TableReply) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["ageMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field ageMillis in TableReply: required")
+	}
+	if _, ok := raw["revision"]; raw != nil && !ok {
+		return fmt.Errorf("field revision in TableReply: required")
+	}
+	type Plain TableReply
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "ageMillis", 0)
+	}
+	if 0 > plain.Revision {
+		return fmt.Errorf("field %s: must be >= %v", "revision", 0)
+	}
+	if v, ok := raw["update"]; !ok || v == nil {
+		plain.Update = ""
+	}
+	*j = TableReply(plain)
+	return nil
+}
+
+// TableRequest asks a balancer for a configuration that the sender lacks.
+type TableRequest struct {
+	// Sender is the control socket of the balancer that sends the request.
+	Sender hickoryid.Endpoint `json:"sender" yaml:"sender"`
+
+	// TableRevision is the revision up to which the sender has all changes of the
+	// configuration.
+	TableRevision int `json:"tableRevision,omitempty,omitzero" yaml:"tableRevision,omitempty"`
+
+	// Version is the version of the sender's configuration; 0 asks for all routes.
+	Version int `json:"version" yaml:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TableRequest) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["sender"]; raw != nil && !ok {
+		return fmt.Errorf("field sender in TableRequest: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in TableRequest: required")
+	}
+	type Plain TableRequest
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["tableRevision"]; !ok || v == nil {
+		plain.TableRevision = 0
+	}
+	if 0 > plain.TableRevision {
+		return fmt.Errorf("field %s: must be >= %v", "tableRevision", 0)
+	}
+	if 0 > plain.Version {
+		return fmt.Errorf("field %s: must be >= %v", "version", 0)
+	}
+	*j = TableRequest(plain)
+	return nil
+}
+
+// TableUpdate is a configuration, or what has changed in it since a version.
+type TableUpdate struct {
+	// Base is the version that the update starts from; 0 if it has all routes.
+	Base int `json:"base,omitempty,omitzero" yaml:"base,omitempty"`
+
+	// Removed has the names of the routes of the base that are gone.
+	Removed []string `json:"removed" yaml:"removed"`
+
+	// Table is the configuration. Its routes are those that are new or have changed
+	// since the base, in their order.
+	Table RouteTable `json:"table" yaml:"table"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TableUpdate) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["removed"]; raw != nil && !ok {
+		return fmt.Errorf("field removed in TableUpdate: required")
+	}
+	if _, ok := raw["table"]; raw != nil && !ok {
+		return fmt.Errorf("field table in TableUpdate: required")
+	}
+	type Plain TableUpdate
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["base"]; !ok || v == nil {
+		plain.Base = 0
+	}
+	if 0 > plain.Base {
+		return fmt.Errorf("field %s: must be >= %v", "base", 0)
+	}
+	if len(plain.Removed) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "removed", 65536)
+	}
+	*j = TableUpdate(plain)
+	return nil
+}
+
 // ZoneMark says whether operators have taken a zone out of service; a mark with a
 // higher revision replaces it.
 type ZoneMark struct {
