--- a/core/hickorydirectory/size_bench_test.go
+++ b/core/hickorydirectory/size_bench_test.go
@@ -51,3 +51,30 @@
 		d.Digest()
 	}
 }
+
+// BenchmarkTableUpdate measures what a version that changes one route costs a balancer that
+// sends it to others, and one that gets it, with the view that it makes of it.
+func BenchmarkTableUpdate(b *testing.B) {
+	for _, count := range []int{40, 1440, 2840} {
+		routes := []int{}
+		for number := range count {
+			routes = append(routes, number)
+		}
+		reader, follower := hickorydirectory.New(), hickorydirectory.New()
+		reader.Apply(start, listing(1, hickorydirectory.Change{Table: numberedTable(1, routes, nil)}))
+		follower.Merge(start, reader.Export(start))
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				version := reader.Version() + 1
+				b.StopTimer()
+				table := numberedTable(version, routes, map[int]int{version % count: version})
+				b.StartTimer()
+				reader.Apply(start, tableOnly(hickorydirectory.Revision(version), table))
+				if _, err := follower.MergeTable(reader.ExportTable(follower.Position()), hickorydirectory.Revision(version)); err != nil {
+					b.Fatal(err)
+				}
+				follower.View(start, wall)
+			}
+		})
+	}
+}
--- a/io/hickoryfabric/confirmation_test.go
+++ b/io/hickoryfabric/confirmation_test.go
@@ -152,3 +152,17 @@
 	f.is.True(reply.State == nil)
 	f.is.True(!reply.Settled)
 }
+
+// TestOnlyUpstreamsConfirm guards against the reset of a flow at an upstream that has just
+// been published, because the store has answered a later call for the zones or the
+// configuration, which says nothing of upstreams.
+func TestOnlyUpstreamsConfirm(t *testing.T) {
+	f := newConfirmationFixture(t)
+	f.answer(listing())
+	confirmed := (<-f.decider.rings.views.Items()).ConfirmedUntil
+	for _, part := range []hickorydirectory.Scope{hickorydirectory.ScopeZones, hickorydirectory.ScopeTable} {
+		batch := &hickorydirectory.Batch{Scope: part, Since: 1, Through: 9}
+		f.updater.handleStoreAnswer(hickoryring.StoreAnswer{Scope: part, Batch: batch, SentAt: f.updater.clock.Now()})
+		f.is.Equal((<-f.decider.rings.views.Items()).ConfirmedUntil, confirmed)
+	}
+}
