Decode what other balancers send outside the limit of the call

A balancer that starts asks three others for their whole state at once, each with the whole configuration as JSON, decoded within the call. Change: CallUntilSilent takes the answer as it is and decodes it after the call; connecting is bounded by the silence too, as it was by the former total limit; the configuration of a whole state travels as compressed text, like an update, encoded once. Guards: TestSlowDecoding fails when the answer is decoded within the call (100 ms of silence, 300 ms to decode). go test ./io/hickoryrpc ./io/hickoryfabric passes.

--- a/io/hickoryfabric/state_fetcher.go
+++ b/io/hickoryfabric/state_fetcher.go
@@ -86,6 +86,9 @@
 		defer cancel()
 		err = f.client.CallUntilSilent(ctx, stateCallTimeout, fetch.Peer, stateMethod, &fetch.Request, &reply)
 	}
+	if err == nil {
+		err = unpackTable(&reply)
+	}
 	if err != nil {
 		f.failures.record(fetch.Peer, sentAt, err)
 		f.stateCalls.Put(hickoryring.StateCall{Peer: fetch.Peer})
@@ -121,7 +124,7 @@
 	defer timer.Stop()
 	select {
 	case *reply = <-answer:
-		return nil
+		return r.packTable(reply)
 	case <-timer.C:
 		return errors.New("state: no answer in time")
 	}
--- a/io/hickoryfabric/table.go
+++ b/io/hickoryfabric/table.go
@@ -73,6 +73,30 @@
 	return answer, nil
 }
 
+// packTable compresses the configuration of a whole state.
+func (r *stateReceiver) packTable(reply *hickorymessage.StateReply) error {
+	if reply.State == nil || reply.State.Table == nil {
+		return nil
+	}
+	var err error
+	reply.Table, err = r.tables.encode(&hickorymessage.TableUpdate{Table: *reply.State.Table, Removed: []string{}})
+	reply.State.Table = nil
+	return err
+}
+
+// unpackTable puts the compressed configuration of a whole state into it.
+func unpackTable(reply *hickorymessage.StateReply) error {
+	if reply.State == nil || reply.Table == "" {
+		return nil
+	}
+	update, err := decodeTable(reply.Table)
+	if err != nil {
+		return err
+	}
+	reply.State.Table = &update.Table
+	return nil
+}
+
 // Table replies with what the caller lacks of the configuration.
 func (r *stateReceiver) Table(request hickorymessage.TableRequest, reply *hickorymessage.TableReply) error {
 	answers := make(chan hickoryring.TableAnswer, 1)
--- a/io/hickoryfabric/table_codec.go
+++ b/io/hickoryfabric/table_codec.go
@@ -20,23 +20,38 @@
 // mostly need the same update at the same time, so it is encoded once for all of them. It
 // is safe for concurrent use.
 type tableEncoder struct {
-	mutex  sync.Mutex
-	update *hickorymessage.TableUpdate
-	text   string
+	mutex sync.Mutex
+	// texts has the updates to one version of the configuration.
+	texts map[tableKey]string
+}
+
+// tableKey identifies an update. A version has the same routes whenever it is sent.
+type tableKey struct {
+	base, version int
+	routesLeftOut bool
 }
 
 // encode returns an update as compressed text.
 func (e *tableEncoder) encode(update *hickorymessage.TableUpdate) (string, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.update == update {
-		return e.text, nil
+	key := tableKey{base: update.Base, version: update.Table.Version, routesLeftOut: update.Table.RoutesLeftOut}
+	if text, known := e.texts[key]; known {
+		return text, nil
 	}
 	text, err := encodeTable(update)
 	if err != nil {
 		return "", err
 	}
-	e.update, e.text = update, text
+	for other := range e.texts {
+		if other.version != key.version {
+			delete(e.texts, other)
+		}
+	}
+	if e.texts == nil {
+		e.texts = map[tableKey]string{}
+	}
+	e.texts[key] = text
 	return text, nil
 }
 
--- a/io/hickoryrpc/client.go
+++ b/io/hickoryrpc/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/rpc"
 	"net/rpc/jsonrpc"
@@ -72,13 +73,24 @@
 // it again. A call that an idle connection did not take, because the peer has closed it
 // since, is sent on a new one.
 func (c *Client) Call(ctx context.Context, peer hickoryid.Endpoint, method string, request, reply any) error {
-	return c.CallUntilSilent(ctx, 0, peer, method, request, reply)
+	return c.call(ctx, 0, peer, method, request, reply)
 }
 
-// CallUntilSilent is Call, and also fails when nothing arrives from the peer for a time; 0
-// stands for no such limit. An answer that is long, or that a narrow link brings slowly, is
-// waited for until the context ends.
+// CallUntilSilent is Call, and also fails when the peer can't be reached, or nothing arrives
+// from it, for a time. An answer that is long, or that a narrow link brings slowly, is
+// waited for until the context ends. It is decoded after the call, so that a slow process
+// does not take the time that it needs itself for the peer's silence.
 func (c *Client) CallUntilSilent(ctx context.Context, silence time.Duration, peer hickoryid.Endpoint, method string, request, reply any) error {
+	var answer json.RawMessage
+	if err := c.call(ctx, silence, peer, method, request, &answer); err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(answer, reply), "decode the answer of %s of %s", method, peer)
+}
+
+// call calls a method of a peer. Silence is the longest time without a byte of the peer; 0
+// stands for no such limit.
+func (c *Client) call(ctx context.Context, silence time.Duration, peer hickoryid.Endpoint, method string, request, reply any) error {
 	connection := c.takeIdle(peer)
 	if connection != nil {
 		err := c.callOn(ctx, silence, connection, peer, method, request, reply)
@@ -86,7 +98,7 @@
 			return err
 		}
 	}
-	connection, err := c.connect(ctx, peer)
+	connection, err := c.connectWithin(ctx, silence, peer)
 	if err != nil {
 		return errors.Wrapf(err, "connect to %s for %s", peer, method)
 	}
@@ -144,6 +156,17 @@
 	return connection
 }
 
+// connectWithin opens a connection to a peer within a time; 0 stands for no limit besides
+// that of connect.
+func (c *Client) connectWithin(ctx context.Context, limit time.Duration, peer hickoryid.Endpoint) (*connection, error) {
+	if limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	return c.connect(ctx, peer)
+}
+
 // connect opens a connection to a peer.
 func (c *Client) connect(ctx context.Context, peer hickoryid.Endpoint) (*connection, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
--- a/io/hickoryrpc/silence_test.go
+++ b/io/hickoryrpc/silence_test.go
@@ -69,3 +69,33 @@
 	}
 	_, _ = conn.Read(request)
 }
+
+// slowReply takes longer than the peer may be silent to be decoded.
+type slowReply struct {
+	wait time.Duration
+}
+
+// UnmarshalJSON waits.
+func (r *slowReply) UnmarshalJSON([]byte) error {
+	<-time.After(r.wait)
+	return nil
+}
+
+// TestSlowDecoding guards against a call that is given up while this process decodes its
+// answer, which may have thousands of routes, with a small share of a processor.
+func TestSlowDecoding(t *testing.T) {
+	is := is.New(t)
+	server, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(server.Register("relay", versionService{}))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func(ctx context.Context) { ended <- server.Serve(ctx) }(ctx)
+	client := NewClient(WithoutCompression())
+	const silence = 100 * time.Millisecond
+	request := hickorymessage.PullRequest{Instance: "a", Team: "pagebound", Version: 7}
+	is.NoErr(client.CallUntilSilent(t.Context(), silence, server.Endpoint(), "relay.Pull", request, &slowReply{wait: 3 * silence}))
+	is.NoErr(client.Close())
+	cancel()
+	<-ended
+}
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -872,6 +872,10 @@
 	// State corresponds to the JSON schema field "state".
 	State *DirectoryState `json:"state,omitempty,omitzero" yaml:"state,omitempty"`
 
+	// Table is the configuration of a whole state, as a TableUpdate of all routes in
+	// JSON, compressed with DEFLATE, in base64.
+	Table string `json:"table,omitempty,omitzero" yaml:"table,omitempty"`
+
 	// TableDue is true when the replying balancer has a configuration that the sender
 	// lacks. It is sent in a call of its own.
 	TableDue bool `json:"tableDue,omitempty,omitzero" yaml:"tableDue,omitempty"`
@@ -900,6 +904,9 @@
 	if v, ok := raw["settled"]; !ok || v == nil {
 		plain.Settled = false
 	}
+	if v, ok := raw["table"]; !ok || v == nil {
+		plain.Table = ""
+	}
 	if v, ok := raw["tableDue"]; !ok || v == nil {
 		plain.TableDue = false
 	}
