Split the calls and answers of the store from the files that grew

Change: store_call.go has the kinds, counters and log of calls, store_answer.go what the directory does with answers; no logic changes.

--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -9,11 +9,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"hickoryworks/core/hickorydirectory"
-	"hickoryworks/core/hickorymodel"
 	"hickoryworks/io/hickoryclock"
 	"hickoryworks/io/hickorylog"
 	"hickoryworks/io/hickoryring"
-	"hickoryworks/schema/hickoryevent"
 )
 
 const (
@@ -91,44 +89,10 @@
 	knownThrough atomic.Int64
 }
 
-// storeCall is what the metrics tell apart of calls to the store.
-type storeCall struct {
-	kind, outcome string
-}
-
-// Kinds of calls to the store: a listing counts as one, whatever its pages.
-const (
-	kindListing      = "listing"
-	kindWatch        = "watch"
-	kindConfirmation = "confirmation"
-)
-
-// kind returns the kind of the call that callStore sends next.
-func (f *storeFollower) kind() string {
-	switch {
-	case f.lists():
-		return kindListing
-	case f.confirming:
-		return kindConfirmation
-	default:
-		return kindWatch
-	}
-}
-
-func (f *storeFollower) count(outcome string) {
-	f.callCounters[storeCall{f.kind(), outcome}].Inc(1)
-}
-
+// newStoreFollower returns a follower of a part of the published state.
 func newStoreFollower(store Store, part hickorydirectory.Scope, random *rand.Rand, rings balancerRings, clock *hickoryclock.Clock, scope tally.Scope, logger *hickorylog.Logger) *storeFollower {
-	callCounters := map[storeCall]tally.Counter{}
-	scope = scope.Tagged(map[string]string{"part": part.String()})
-	for _, kind := range []string{kindListing, kindWatch, kindConfirmation} {
-		for _, outcome := range []string{"answered", "failed", "historyGone"} {
-			callCounters[storeCall{kind, outcome}] = scope.Tagged(map[string]string{"kind": kind, "outcome": outcome}).Counter("store_calls")
-		}
-	}
 	f := &storeFollower{
-		store: store, scope: part, random: random, clock: clock, callCounters: callCounters, logger: logger,
+		store: store, scope: part, random: random, clock: clock, callCounters: newCallCounters(scope, part), logger: logger,
 		storeAnswers: rings.storeAnswers, confirmRequests: hickoryring.NewWakeRing(), readRequests: hickoryring.NewWakeRing(),
 	}
 	if f.isFirst() {
@@ -174,13 +138,6 @@
 	}
 }
 
-// logFailure logs a failed call that was sent at a time.
-func (f *storeFollower) logFailure(sent hickorymodel.Instant, err error) {
-	f.logger.Log(hickoryevent.StoreCallFailed, hickorylog.Fields{
-		"kind": f.kind(), "part": f.scope.String(), "after": int(f.through), "elapsedMillis": int(f.clock.Now().Sub(sent).Milliseconds()), "error": err.Error(),
-	})
-}
-
 // setReading sets whether the store is to be watched, and up to which revisions all
 // changes are known. Only the first follower reads before anything is known.
 func (f *storeFollower) setReading(reading bool, known hickorydirectory.Position) {
