Count an answer of the store for the part that was asked for

Cause: found by reading. The part of a call was decided twice, before it and in it; when another balancer's state came in between, a watch of the upstreams counted as an answer for the whole state, so that an old configuration passed for a current one for up to 2.5 s. Change: the follower records the part when it sends the call. Guards: TestFollowersOfParts (who lists what, and when a part begins).

--- a/io/hickoryfabric/store_follower.go
+++ b/io/hickoryfabric/store_follower.go
@@ -78,6 +78,8 @@
 	through hickorydirectory.Revision
 	// failures counts the failed calls since the last answer.
 	failures int
+	// called has the parts that the last call was for: all of them for the first listing.
+	called hickorydirectory.Scope
 	// confirming is true while the next watch is sent only for confirmation.
 	confirming bool
 
@@ -121,7 +123,6 @@
 			return err
 		}
 		sent := f.clock.Now()
-		scope := f.callScope()
 		batch, err := f.callStore(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -129,7 +130,7 @@
 		if err != nil {
 			f.logFailure(sent, err)
 		}
-		if !f.storeAnswers.Put(ctx, hickoryring.StoreAnswer{Scope: scope, Batch: batch, Err: err, SentAt: sent}) {
+		if !f.storeAnswers.Put(ctx, hickoryring.StoreAnswer{Scope: f.called, Batch: batch, Err: err, SentAt: sent}) {
 			return ctx.Err()
 		}
 		if err := f.waitForNextCall(ctx, f.recordOutcome(batch, err, f.clock.Now().Sub(sent)), err == nil); err != nil {
@@ -164,36 +165,30 @@
 	return nil
 }
 
-// callScope returns the part that the next call is for, which is the whole state before
-// anything is known.
-func (f *storeFollower) callScope() hickorydirectory.Scope {
-	if f.isFirst() && f.through == 0 && f.knownThrough.Load() == 0 {
-		return hickorydirectory.ScopeAll
-	}
-	return f.scope
-}
-
 // callStore sends one listing or watch.
 func (f *storeFollower) callStore(ctx context.Context) (*hickorydirectory.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	scope := f.callScope()
 	if known := hickorydirectory.Revision(f.knownThrough.Load()); known > f.through {
 		f.through = known
 		f.listed = true // by another balancer, or together with another part
 	}
+	f.called = f.scope
+	if f.isFirst() && f.through == 0 {
+		f.called = hickorydirectory.ScopeAll // nothing is known
+	}
 	if f.lists() {
 		silence := pageSilence
 		if (f.failures+1)%patientAttempt == 0 {
 			silence = slowPageSilence
 		}
-		return f.store.List(ctx, scope, silence)
+		return f.store.List(ctx, f.called, silence)
 	}
 	wait := watchWait
 	if f.confirming {
 		wait = confirmWatchWait
 	}
-	return f.store.Watch(ctx, f.scope, f.through, wait, watchSilence)
+	return f.store.Watch(ctx, f.called, f.through, wait, watchSilence)
 }
 
 // waitForNextCall waits between two calls. A request for confirmation shortens the
--- a/io/hickoryfabric/store_follower_test.go
+++ b/io/hickoryfabric/store_follower_test.go
@@ -173,3 +173,31 @@
 	}
 	is.Equal(timeouts, []time.Duration{pageSilence, pageSilence, pageSilence, slowPageSilence, pageSilence})
 }
+
+// TestFollowersOfParts guards against a whole listing for each part at the start, against
+// parts that begin before a first one is known, and against an answer for one part that
+// counts as one for all.
+func TestFollowersOfParts(t *testing.T) {
+	is := is.New(t)
+	listed := []hickorydirectory.Scope{}
+	store := Store{List: func(_ context.Context, scope hickorydirectory.Scope, _ time.Duration) (*hickorydirectory.Batch, error) {
+		listed = append(listed, scope)
+		return &hickorydirectory.Batch{Through: 7}, nil
+	}, Watch: func(context.Context, hickorydirectory.Scope, hickorydirectory.Revision, time.Duration, time.Duration) (*hickorydirectory.Batch, error) {
+		return nil, errHistoryGone
+	}}
+	first, zones := testFollower(store), testFollowerOf(hickorydirectory.ScopeZones, store)
+	for _, f := range []*storeFollower{first, zones} {
+		f.setReading(true, hickorydirectory.Position{})
+	}
+	is.True(first.reading.Load())
+	is.True(!zones.reading.Load())
+	for range 3 {
+		batch, err := first.callStore(t.Context())
+		first.recordOutcome(batch, err, 0)
+	}
+	is.Equal(listed, []hickorydirectory.Scope{hickorydirectory.ScopeAll, hickorydirectory.ScopeUpstreams})
+	is.Equal(first.called, hickorydirectory.ScopeUpstreams)
+	zones.setReading(true, hickorydirectory.Position{Upstreams: 7, Zones: 7, Table: 7})
+	is.True(zones.reading.Load())
+}
