Send a configuration in columns, and decode one at a start

Change: updates travel in columns (schema TableColumns), checked when they are decoded; of several whole states at a start only the first configuration is decoded, while upstreams and zones of all are merged.

--- a/io/hickoryfabric/state_fetcher.go
+++ b/io/hickoryfabric/state_fetcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,9 @@
 	stateCalls    *hickoryring.StateRing
 	// completed is closed once the directory has a complete state.
 	completed <-chan struct{}
+	// unpacking is held while a configuration is decoded: of several first states one is
+	// enough, and a slow balancer has no time for the others.
+	unpacking sync.Mutex
 	failures  peerFailures
 }
 
@@ -87,7 +91,7 @@
 		err = f.client.CallUntilSilent(ctx, stateCallTimeout, fetch.Peer, stateMethod, &fetch.Request, &reply)
 	}
 	if err == nil {
-		err = unpackTable(&reply)
+		err = f.unpack(&reply)
 	}
 	if err != nil {
 		f.failures.record(fetch.Peer, sentAt, err)
@@ -97,6 +101,23 @@
 	f.stateCalls.Put(hickoryring.StateCall{Peer: fetch.Peer, Answer: &reply})
 }
 
+// unpack decodes the configuration of a whole state, unless the directory is complete by
+// then. It is left out of the reply in that case; upstreams and zones stay in it.
+func (f *stateFetcher) unpack(reply *hickorymessage.StateReply) error {
+	f.unpacking.Lock()
+	defer f.unpacking.Unlock()
+	if reply.State == nil || reply.Table == "" {
+		return nil
+	}
+	select {
+	case <-f.completed:
+		reply.State.TableRevision = 0
+		return nil
+	default:
+		return unpackTable(reply)
+	}
+}
+
 // connect opens a connection to a balancer.
 func (f *stateFetcher) connect(ctx context.Context, peer hickoryid.Endpoint) error {
 	ctx, cancel := context.WithTimeout(ctx, stateCallTimeout)
--- a/io/hickoryfabric/table.go
+++ b/io/hickoryfabric/table.go
@@ -86,9 +86,6 @@
 
 // unpackTable puts the compressed configuration of a whole state into it.
 func unpackTable(reply *hickorymessage.StateReply) error {
-	if reply.State == nil || reply.Table == "" {
-		return nil
-	}
 	update, err := decodeTable(reply.Table)
 	if err != nil {
 		return err
--- a/io/hickoryfabric/table_codec.go
+++ b/io/hickoryfabric/table_codec.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "compress a configuration")
 	}
-	if err := json.NewEncoder(writer).Encode(update); err != nil {
+	if err := json.NewEncoder(writer).Encode(columnsOf(update)); err != nil {
 		return "", errors.Wrap(err, "encode a configuration")
 	}
 	if err := writer.Close(); err != nil {
@@ -83,6 +83,9 @@
 	if len(content) > maxTableText {
 		return nil, errors.Errorf("configuration of more than %d bytes", maxTableText)
 	}
-	update := &hickorymessage.TableUpdate{}
-	return update, errors.Wrap(json.Unmarshal(content, update), "decode a configuration")
+	columns := &hickorymessage.TableColumns{}
+	if err := json.Unmarshal(content, columns); err != nil {
+		return nil, errors.Wrap(err, "decode a configuration")
+	}
+	return updateOf(columns)
 }
--- a/io/hickoryfabric/table_test.go
+++ b/io/hickoryfabric/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"hickoryworks/core/hickorydirectory"
 	"hickoryworks/io/hickoryring"
+	"hickoryworks/schema/hickoryid"
 	"hickoryworks/schema/hickorymessage"
 )
 
@@ -108,6 +110,17 @@
 	decoded, err := decodeTable(text)
 	is.NoErr(err)
 	is.Equal(fmt.Sprint(decoded), fmt.Sprint(update))
+	for _, spoil := range []func(c *hickorymessage.TableColumns){
+		func(c *hickorymessage.TableColumns) { c.Names = append(c.Names, "more") },
+		func(c *hickorymessage.TableColumns) { c.Targets[0] = 9 },
+		func(c *hickorymessage.TableColumns) { c.Terms[0] = -1 },
+		func(c *hickorymessage.TableColumns) { c.Names[0] = strings.Repeat("a", 257) },
+	} {
+		columns := columnsOf(update)
+		spoil(columns)
+		_, err := updateOf(columns)
+		is.True(err != nil)
+	}
 	for _, odd := range []string{"!", "AAAA", text[:len(text)/2]} {
 		_, err := decodeTable(odd)
 		is.True(err != nil)
@@ -142,3 +155,51 @@
 	is.Equal(calls, "WLLW")
 	is.Equal(pauses, []time.Duration{time.Second, 0}) // half of the time at most is spent on reading
 }
+
+// TestOneFirstTable guards against a slow balancer that decodes the configurations of
+// several whole states at its start, and against one that takes a state without its
+// upstreams for whole.
+func TestOneFirstTable(t *testing.T) {
+	is := is.New(t)
+	receiver, f := &stateReceiver{}, &stateFetcher{}
+	packed := func() *hickorymessage.StateReply {
+		reply := &hickorymessage.StateReply{Settled: true, State: &hickorymessage.DirectoryState{Table: version(2).Changes[0].Table, TableRevision: 7}}
+		is.NoErr(receiver.packTable(reply))
+		is.True(reply.State.Table == nil)
+		return reply
+	}
+	first, second := packed(), packed()
+	completed := make(chan struct{})
+	f.completed = completed
+	is.NoErr(f.unpack(first))
+	is.Equal(first.State.Table.Version, 2)
+	close(completed)
+	is.NoErr(f.unpack(second))
+	is.True(second.State != nil)
+	is.True(second.State.Table == nil)
+	is.Equal(second.State.TableRevision, 0) // it does not have that configuration
+}
+
+// BenchmarkTableText measures what a whole configuration costs a balancer that receives it.
+func BenchmarkTableText(b *testing.B) {
+	for _, routes := range []int{40, 1440, 2840} {
+		table := *version(2).Changes[0].Table
+		route := table.Routes[0]
+		table.Routes = nil
+		for i := range routes {
+			route.Name, route.Address = fmt.Sprint("route-", i), hickoryid.Endpoint(fmt.Sprintf("198.18.%d.%d:443", i/250, i%250))
+			table.Routes = append(table.Routes, route)
+		}
+		text, err := encodeTable(&hickorymessage.TableUpdate{Table: table})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := decodeTable(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -872,8 +872,8 @@
 	// State corresponds to the JSON schema field "state".
 	State *DirectoryState `json:"state,omitempty,omitzero" yaml:"state,omitempty"`
 
-	// Table is the configuration of a whole state, as a TableUpdate of all routes in
-	// JSON, compressed with DEFLATE, in base64.
+	// Table is the configuration of a whole state, in the form of the update of a
+	// TableReply.
 	Table string `json:"table,omitempty,omitzero" yaml:"table,omitempty"`
 
 	// TableDue is true when the replying balancer has a configuration that the sender
@@ -971,6 +971,130 @@
 	return nil
 }
 
+// TableColumns is the form in which a TableUpdate is sent. Each column has a value
+// for each route, in their order: thousands of routes are decoded in a tenth of
+// the time that objects take.
+type TableColumns struct {
+	// Addresses corresponds to the JSON schema field "addresses".
+	Addresses []hickoryid.Endpoint `json:"addresses" yaml:"addresses"`
+
+	// AllTargets are the different lists of targets of the routes.
+	AllTargets [][]RouteTarget `json:"allTargets,omitempty,omitzero" yaml:"allTargets,omitempty"`
+
+	// AllTerms are the terms of the table.
+	AllTerms []RouteTerms `json:"allTerms,omitempty,omitzero" yaml:"allTerms,omitempty"`
+
+	// Base is that of the update.
+	Base int `json:"base,omitempty,omitzero" yaml:"base,omitempty"`
+
+	// IdleTimeout corresponds to the JSON schema field "idleTimeout".
+	IdleTimeout hickoryid.Duration `json:"idleTimeout" yaml:"idleTimeout"`
+
+	// Names corresponds to the JSON schema field "names".
+	Names []string `json:"names" yaml:"names"`
+
+	// Priorities corresponds to the JSON schema field "priorities".
+	Priorities []int `json:"priorities" yaml:"priorities"`
+
+	// Removed has the names of the routes of the base that are gone.
+	Removed []string `json:"removed,omitempty,omitzero" yaml:"removed,omitempty"`
+
+	// RoutesLeftOut corresponds to the JSON schema field "routesLeftOut".
+	RoutesLeftOut bool `json:"routesLeftOut,omitempty,omitzero" yaml:"routesLeftOut,omitempty"`
+
+	// Services corresponds to the JSON schema field "services".
+	Services []RoutedService `json:"services,omitempty,omitzero" yaml:"services,omitempty"`
+
+	// Targets are the positions in allTargets, counted from 1.
+	Targets []int `json:"targets" yaml:"targets"`
+
+	// Terms are the positions in allTerms, counted from 1; 0 stands for none.
+	Terms []int `json:"terms" yaml:"terms"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version" yaml:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TableColumns) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["addresses"]; raw != nil && !ok {
+		return fmt.Errorf("field addresses in TableColumns: required")
+	}
+	if _, ok := raw["idleTimeout"]; raw != nil && !ok {
+		return fmt.Errorf("field idleTimeout in TableColumns: required")
+	}
+	if _, ok := raw["names"]; raw != nil && !ok {
+		return fmt.Errorf("field names in TableColumns: required")
+	}
+	if _, ok := raw["priorities"]; raw != nil && !ok {
+		return fmt.Errorf("field priorities in TableColumns: required")
+	}
+	if _, ok := raw["targets"]; raw != nil && !ok {
+		return fmt.Errorf("field targets in TableColumns: required")
+	}
+	if _, ok := raw["terms"]; raw != nil && !ok {
+		return fmt.Errorf("field terms in TableColumns: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in TableColumns: required")
+	}
+	type Plain TableColumns
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if len(plain.Addresses) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "addresses", 65536)
+	}
+	if len(plain.AllTargets) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "allTargets", 65536)
+	}
+	for i1 := range plain.AllTargets {
+		if len(plain.AllTargets[i1]) > 65536 {
+			return fmt.Errorf("field %s length: must be <= %d", fmt.Sprintf("allTargets[%d]", i1), 65536)
+		}
+	}
+	if len(plain.AllTerms) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "allTerms", 65536)
+	}
+	if v, ok := raw["base"]; !ok || v == nil {
+		plain.Base = 0
+	}
+	if 0 > plain.Base {
+		return fmt.Errorf("field %s: must be >= %v", "base", 0)
+	}
+	if len(plain.Names) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "names", 65536)
+	}
+	if len(plain.Priorities) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "priorities", 65536)
+	}
+	if len(plain.Removed) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "removed", 65536)
+	}
+	if v, ok := raw["routesLeftOut"]; !ok || v == nil {
+		plain.RoutesLeftOut = false
+	}
+	if len(plain.Services) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "services", 65536)
+	}
+	if len(plain.Targets) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "targets", 65536)
+	}
+	if len(plain.Terms) > 65536 {
+		return fmt.Errorf("field %s length: must be <= %d", "terms", 65536)
+	}
+	if 1 > plain.Version {
+		return fmt.Errorf("field %s: must be >= %v", "version", 1)
+	}
+	*j = TableColumns(plain)
+	return nil
+}
+
 // TableReply answers a TableRequest.
 type TableReply struct {
 	// AgeMillis is how long before the reply, in milliseconds, the replying balancer
@@ -981,8 +1105,8 @@
 	// the configuration.
 	Revision int `json:"revision" yaml:"revision"`
 
-	// Update is a TableUpdate as JSON, compressed with DEFLATE, in base64. It is
-	// empty if the sender of the request lacks nothing.
+	// Update is a TableUpdate in the form of TableColumns, as JSON, compressed with
+	// DEFLATE, in base64. It is empty if the sender of the request lacks nothing.
 	Update string `json:"update,omitempty,omitzero" yaml:"update,omitempty"`
 }
 
