Give the configuration an age of its own, so that slow balancers go on following

Reading takes them longer still: the whole text in place of an update. Change: the age of the configuration is told and bounded apart, with 4 s; 2.5 s for upstreams and zones stay. A part that is old in either makes a balancer read, and not to be followed. Ruled out: one bound of 4 s for all parts, which would make leaving upstreams later.

--- a/core/hickorydirectory/scope.go
+++ b/core/hickorydirectory/scope.go
@@ -16,8 +16,12 @@
 	ScopeAll = ScopeUpstreams | ScopeZones | ScopeTable
 )
 
-// scopeCount is the number of parts.
-const scopeCount = 3
+const (
+	// scopeCount is the number of parts.
+	scopeCount = 3
+	// scopeRecords has the parts whose records are small.
+	scopeRecords = ScopeUpstreams | ScopeZones
+)
 
 // Contains reports whether the set has all parts of another one.
 func (s Scope) Contains(part Scope) bool {
--- a/core/hickorydirectory/source.go
+++ b/core/hickorydirectory/source.go
@@ -16,6 +16,10 @@
 	// the pause between two watches and two answers of a slow store old, and each
 	// balancer on the way adds a call.
 	followLimit = 2500 * time.Millisecond
+	// tableFollowLimit is the same for the configuration. With each version a slow balancer
+	// needs more time for it than for the other parts, and to read it from the store would
+	// take it far longer still.
+	tableFollowLimit = 4 * time.Second
 	// maxFollowers bounds the balancers that follow one other, so that its calls do
 	// not grow with the fleet.
 	maxFollowers = 8
@@ -112,16 +116,35 @@
 	}
 }
 
-// until returns the time up to which all changes of all parts are known; 0 for never.
-func (k *knowledge) until() hickorymodel.Instant {
-	return slices.Min(k[:])
+// until returns the time up to which all changes of some parts are known; 0 for never.
+func (k *knowledge) until(parts Scope) hickorymodel.Instant {
+	until := slices.Max(k[:])
+	for i := range k {
+		if parts.Contains(1 << i) {
+			until = min(until, k[i])
+		}
+	}
+	return until
 }
 
-// RecordAnswer records the answer of the parent, which knew all changes published up
-// to knownUntil. The parts are those that this balancer has with the answer: a
-// configuration comes by a call of its own. The parent is followed further if its
-// knowledge is current.
-func (s *Source) RecordAnswer(now hickorymodel.Instant, peer hickoryid.Endpoint, current bool, knownUntil hickorymodel.Instant, parts Scope) {
+// newest returns the later time of two for each part.
+func (k knowledge) newest(other knowledge) knowledge {
+	for i := range k {
+		k[i] = max(k[i], other[i])
+	}
+	return k
+}
+
+// old reports whether what is known through others is too old.
+func (k *knowledge) old(now hickorymodel.Instant) bool {
+	return now.Sub(k.until(scopeRecords)) > followLimit || now.Sub(k.until(ScopeTable)) > tableFollowLimit
+}
+
+// RecordAnswer records the answer of the parent, which knew all changes of upstreams and
+// zones published up to recordsUntil, and those of the configuration up to tableUntil;
+// that is 0 if it has one that this balancer lacks, which comes by a call of its own. The
+// parent is followed further if its knowledge is current.
+func (s *Source) RecordAnswer(now hickorymodel.Instant, peer hickoryid.Endpoint, current bool, recordsUntil, tableUntil hickorymodel.Instant) {
 	s.calling = false
 	s.peers.RecordContact(now, peer, "")
 	if !current {
@@ -129,13 +152,14 @@
 		s.parent = ""
 		return
 	}
-	s.followed.record(parts, knownUntil)
+	s.followed.record(scopeRecords, recordsUntil)
+	s.followed.record(ScopeTable, tableUntil)
 }
 
-// RecordTable records that the parent has sent its configuration, and knew all changes
-// published up to knownUntil when it did.
-func (s *Source) RecordTable(knownUntil hickorymodel.Instant) {
-	s.followed.record(ScopeTable, knownUntil)
+// RecordTable records that another balancer has sent its configuration, and knew all
+// changes of it published up to a time when it did.
+func (s *Source) RecordTable(until hickorymodel.Instant) {
+	s.followed.record(ScopeTable, until)
 }
 
 // RecordFailure records that the parent has not answered.
@@ -154,7 +178,7 @@
 	}
 	s.read.record(parts, until)
 	if s.firstReadUntil == 0 {
-		s.firstReadUntil = s.read.until()
+		s.firstReadUntil = s.read.until(ScopeAll)
 	}
 }
 
@@ -201,19 +225,26 @@
 		return !now.Before(s.FirstReadAt())
 	}
 	s.chooseParent(now)
-	knownUntil := max(s.followed.until(), s.firstReadUntil)
-	return s.parent == "" || knownUntil == 0 || now.Sub(knownUntil) > followLimit
+	known := s.followed
+	known.record(ScopeAll, s.firstReadUntil)
+	return s.parent == "" || known.until(ScopeAll) == 0 || known.old(now)
 }
 
-// Age returns the age of the balancer's knowledge, and whether that is current, so that
-// others may follow it.
+// Age returns the age of what the balancer knows of upstreams and zones, and whether it is
+// current in all, so that others may follow it.
 func (s *Source) Age(now hickorymodel.Instant) (time.Duration, bool) {
-	knownUntil := max(s.followed.until(), s.read.until())
-	age := now.Sub(knownUntil)
-	if reading := s.parent == "" || now.Sub(s.followed.until()) > followLimit; reading && s.storeLost {
+	known := s.followed.newest(s.read)
+	age := now.Sub(known.until(scopeRecords))
+	if reading := s.parent == "" || s.followed.old(now); reading && s.storeLost {
 		return age, false
 	}
-	return age, knownUntil != 0 && age <= followLimit && !s.stopping
+	return age, known.until(ScopeAll) != 0 && !known.old(now) && !s.stopping
+}
+
+// TableAge returns the age of what the balancer knows of the configuration.
+func (s *Source) TableAge(now hickorymodel.Instant) time.Duration {
+	known := s.followed.newest(s.read)
+	return now.Sub(known.until(ScopeTable))
 }
 
 // chooseParent chooses the balancer to follow again when there is none, or once in
--- a/io/hickoryfabric/changes_waiters.go
+++ b/io/hickoryfabric/changes_waiters.go
@@ -66,8 +66,10 @@
 		Current:    current,
 		AgeMillis:  int(max(age, 0).Milliseconds()),
 		HeldMillis: int(now.Sub(waiter.since).Milliseconds()),
-		TableDue:   w.directory.TableDue(positionOf(request)),
-		State:      w.directory.ExportChanges(now, positionOf(request)),
+
+		TableAgeMillis: int(max(w.source.TableAge(now), 0).Milliseconds()),
+		TableDue:       w.directory.TableDue(positionOf(request)),
+		State:          w.directory.ExportChanges(now, positionOf(request)),
 	}
 }
 
--- a/io/hickoryfabric/directory_updater.go
+++ b/io/hickoryfabric/directory_updater.go
@@ -142,15 +142,16 @@
 		if call.Answer.State != nil && u.directory.Merge(now, call.Answer.State) {
 			u.publish(string(call.Peer))
 		}
-		parts := hickorydirectory.ScopeAll
-		if call.Answer.TableDue {
-			parts = hickorydirectory.ScopeUpstreams | hickorydirectory.ScopeZones
-			u.pullTable(call.Peer)
-		}
 		// The answer was sent after the call had been held; when it is late, it is older
 		// than it seems by its arrival.
 		answeredAt := u.changesSentAt.Add(time.Duration(call.Answer.HeldMillis) * time.Millisecond)
-		u.source.RecordAnswer(now, call.Peer, call.Answer.Current, answeredAt.Add(-time.Duration(call.Answer.AgeMillis)*time.Millisecond), parts)
+		recordsUntil := answeredAt.Add(-time.Duration(call.Answer.AgeMillis) * time.Millisecond)
+		tableUntil := answeredAt.Add(-time.Duration(call.Answer.TableAgeMillis) * time.Millisecond)
+		if call.Answer.TableDue {
+			tableUntil = 0
+			u.pullTable(call.Peer)
+		}
+		u.source.RecordAnswer(now, call.Peer, call.Answer.Current, recordsUntil, tableUntil)
 	default:
 		u.source.RecordFailure(now, call.Peer)
 	}
@@ -179,7 +180,7 @@
 		u.source.Stop()
 	}
 	age, _ := u.source.Age(now)
-	u.viewAge.Update(age.Seconds())
+	u.viewAge.Update(max(age, u.source.TableAge(now)).Seconds())
 	if peer, due := u.peers.Next(now, u.callReason()); due {
 		u.logFirstSource(string(peer))
 		position := u.directory.Position()
--- a/io/hickoryfabric/table.go
+++ b/io/hickoryfabric/table.go
@@ -168,7 +168,7 @@
 
 // tableAnswer returns the answer to a request for the configuration.
 func (u *directoryUpdater) tableAnswer(now hickorymodel.Instant, request *hickorymessage.TableRequest) hickoryring.TableAnswer {
-	age, _ := u.source.Age(now)
+	age := u.source.TableAge(now)
 	position := tablePosition(request.Version, request.TableRevision)
 	return hickoryring.TableAnswer{
 		Update: u.directory.ExportTable(position),
--- a/schema/hickorymessage/discovery_generated.go
+++ b/schema/hickorymessage/discovery_generated.go
@@ -10,7 +10,7 @@
 // ChangesReply answers a ChangesRequest.
 type ChangesReply struct {
 	// AgeMillis is how long before the reply, in milliseconds, the replying balancer
-	// knew all published changes.
+	// knew all published changes of upstreams and zones.
 	AgeMillis int `json:"ageMillis" yaml:"ageMillis"`
 
 	// Current is false when the knowledge of the replying balancer is not current, or
@@ -23,6 +23,10 @@
 	// State corresponds to the JSON schema field "state".
 	State *DirectoryState `json:"state,omitempty,omitzero" yaml:"state,omitempty"`
 
+	// TableAgeMillis is how long before the reply, in milliseconds, it knew all
+	// changes of the configuration.
+	TableAgeMillis int `json:"tableAgeMillis,omitempty,omitzero" yaml:"tableAgeMillis,omitempty"`
+
 	// TableDue is true when the replying balancer has a configuration that the sender
 	// lacks. It is sent in a call of its own.
 	TableDue bool `json:"tableDue,omitempty,omitzero" yaml:"tableDue,omitempty"`
@@ -54,6 +58,12 @@
 	if 0 > plain.HeldMillis {
 		return fmt.Errorf("field %s: must be >= %v", "heldMillis", 0)
 	}
+	if v, ok := raw["tableAgeMillis"]; !ok || v == nil {
+		plain.TableAgeMillis = 0
+	}
+	if 0 > plain.TableAgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "tableAgeMillis", 0)
+	}
 	if v, ok := raw["tableDue"]; !ok || v == nil {
 		plain.TableDue = false
 	}
@@ -1098,7 +1108,7 @@
 // TableReply answers a TableRequest.
 type TableReply struct {
 	// AgeMillis is how long before the reply, in milliseconds, the replying balancer
-	// knew all published changes.
+	// knew all changes of the configuration.
 	AgeMillis int `json:"ageMillis" yaml:"ageMillis"`
 
 	// Revision is the revision up to which the replying balancer has all changes of
