Read the answers of agents before the timers of a search

The decide duty takes frames and ticks in any order, so that a tick may widen a search whose end waits in the ring. Change: what has arrived from agents is handled before each tick; 1507 has the time that a search took. The order of whom a search asks is unchanged.

--- a/core/hickorysteering/balancer.go
+++ b/core/hickorysteering/balancer.go
@@ -258,7 +258,7 @@
 	}
 	if s, ok := b.searches[key]; ok {
 		b.endSearch(key, s)
-		b.recordDecision(&Decision{Step: StepFound, Flow: key, Peer: from, Reason: reason, Count: s.framesSent})
+		b.recordDecision(&Decision{Step: StepFound, Flow: key, Peer: from, Reason: reason, Count: s.framesSent, Waited: now.Sub(s.startedAt)})
 		if !slices.Contains(s.packetSentTo, from) {
 			b.sendData(s.packet.Bytes, b.peer(from))
 		}
--- a/core/hickorysteering/decision.go
+++ b/core/hickorysteering/decision.go
@@ -98,7 +98,7 @@
 	Count int
 	// Factor is how many times as long work takes as before.
 	Factor float64
-	// Waited is how long a first packet has waited at the agent.
+	// Waited is how long a first packet has waited at the agent, or a search has taken.
 	Waited time.Duration
 	// Excluded is the time for which a failing upstream got no new flows.
 	Excluded time.Duration
--- a/io/hickoryfabric/balancer_decider.go
+++ b/io/hickoryfabric/balancer_decider.go
@@ -75,7 +75,7 @@
 			explanation := d.steering.Explain(d.clock.Now(), call.Flow)
 			call.Reply <- choiceReply(&explanation)
 		case <-timer.C:
-			d.tick(ctx)
+			d.advance(ctx)
 			searching = d.steering.Searching()
 			timer.Reset(tickInterval(searching))
 		}
@@ -87,6 +87,25 @@
 	}
 }
 
+// advance handles what has arrived from agents, and then what is due.
+func (d *balancerDecider) advance(ctx context.Context) {
+	d.handleWaitingFrames(ctx)
+	d.tick(ctx)
+}
+
+// handleWaitingFrames handles the frames that have arrived from agents. A tick asks further
+// agents because others have not answered, so it comes after the answers that are there.
+func (d *balancerDecider) handleWaitingFrames(ctx context.Context) {
+	for range len(d.rings.fromAgents.Items()) {
+		select {
+		case frame := <-d.rings.fromAgents.Items():
+			d.handleFrame(ctx, frame)
+		default:
+			return // the ring has dropped some
+		}
+	}
+}
+
 // checkPause calls Resumed if more than maxEventGap has passed since the last event,
 // which means that the process was paused.
 func (d *balancerDecider) checkPause() {
--- a/io/hickoryfabric/confirmation_test.go
+++ b/io/hickoryfabric/confirmation_test.go
@@ -69,9 +69,14 @@
 
 // denial returns the answer of an agent whose upstream does not hold the flow.
 func denial() []byte {
+	return answerOf(hickorysteering.ReasonNotHeld)
+}
+
+// answerOf returns the answer of an agent about the flow.
+func answerOf(reason hickorysteering.Reason) []byte {
 	return encodeFrame(&hickorysteering.Action{Verb: hickorysteering.VerbAnswers, Header: hickoryframe.Header{
 		Version: hickorysteering.FrameVersion, Kind: uint8(hickorysteering.KindAnswers),
-	}, Answers: []hickoryframe.Answer{{Flow: hickorysteering.NoticeOf(unknownFlow), Reason: uint8(hickorysteering.ReasonNotHeld)}}})
+	}, Answers: []hickoryframe.Answer{{Flow: hickorysteering.NoticeOf(unknownFlow), Reason: uint8(reason)}}})
 }
 
 // deny answers the last search packet or query to an agent: it does not hold the flow.
--- a/io/hickoryfabric/full_rings_test.go
+++ b/io/hickoryfabric/full_rings_test.go
@@ -145,3 +145,19 @@
 	f.is.True(reply.State == nil)
 	f.is.Equal(reply.HeldMillis, 0)
 }
+
+// TestAnswersComeBeforeTimers guards against a search that asks the agents of other services,
+// although the owner's answer has arrived and waits in a process that was busy.
+func TestAnswersComeBeforeTimers(t *testing.T) {
+	f := newConfirmationFixture(t)
+	f.useUpstreams(t, 40)
+	f.decider.handlePacket(t.Context(), hickoryring.Frame{Bytes: []byte("data")})
+	asked := f.drain()
+	f.is.True(len(asked) > 0)
+	<-time.After(time.Second / 10) // further rounds are due
+	f.decider.rings.fromAgents.Put(t.Context(), hickoryring.Frame{Peer: asked[0], Bytes: answerOf(hickorysteering.ReasonOpen)})
+	for range 2 {
+		f.decider.advance(t.Context())
+		f.is.Equal(len(f.drain()), 0)
+	}
+}
--- a/schema/hickoryevent/event_generated.go
+++ b/schema/hickoryevent/event_generated.go
@@ -97,7 +97,7 @@
 	FlowUnrouted = Event{Number: 1505, Name: "FlowUnrouted", Level: "warn", Text: "address without a route"}
 	// FlowSearched: A packet of an open flow arrived at a balancer that has no record of the flow.
 	FlowSearched = Event{Number: 1506, Name: "FlowSearched", Level: "info", Text: "search for the owner of a flow started"}
-	// FlowFound: An agent reports that its upstream holds the flow.
+	// FlowFound: An agent reports that its upstream holds the flow. The field waited is the time since the search began, count the number of frames that it sent.
 	FlowFound = Event{Number: 1507, Name: "FlowFound", Level: "info", Text: "owner of a flow found"}
 	// FlowNotFound: Every known agent was asked, and none reported that its upstream holds the flow.
 	FlowNotFound = Event{Number: 1508, Name: "FlowNotFound", Level: "warn", Text: "no upstream holds the flow"}
