End a call for the configuration whose outcome was lost

Cause: found by reading the change anew. The outcome of a call passes a ring of 64 entries that refuses the newest when it is full; without it the balancer counts as receiving a configuration for ever, and asks for none any more. Change: a call without an outcome counts as failed after 12 s, longer than any call takes, as calls for changes do. Guards: TestLostOutcomeOfTableCall.

--- a/io/hickoryfabric/table.go
+++ b/io/hickoryfabric/table.go
@@ -23,6 +23,10 @@
 	peerSilence = 700 * time.Millisecond
 	// tableTimeout bounds a call whose answer keeps arriving, but too slowly to be of use.
 	tableTimeout = 10 * time.Second
+	// tablePullLimit is the time after which a call for the configuration without an outcome
+	// counts as failed. It is longer than any call takes; the outcome may have met a full
+	// ring.
+	tablePullLimit = tableTimeout + 2*time.Second
 	// tableRetryPause is the time from a failed call for the configuration to the next
 	// one.
 	tableRetryPause = 200 * time.Millisecond
@@ -118,10 +122,9 @@
 
 // tablePull decides when the next call for the configuration is due.
 type tablePull struct {
-	// pending is true while a call is under way, or has failed just now.
+	// pending is true while a call is under way, or has failed just now. It ends at retryAt
+	// at the latest.
 	pending bool
-	// retryAt is when a failed call may be followed by the next one; 0 while one is under
-	// way.
 	retryAt hickorymodel.Instant
 	// whole is true when the next call is to bring all routes, since an update did not
 	// start from the configuration in force.
@@ -140,15 +143,14 @@
 		request.Version = 0
 	}
 	if u.tableFetches.Put(hickoryring.TableFetch{Peer: peer, Request: request}) {
-		u.tablePull = tablePull{pending: true}
+		u.tablePull = tablePull{pending: true, retryAt: u.clock.Now().Add(tablePullLimit)}
 	}
 }
 
-// expireTablePull ends the pause after a failed call.
+// expireTablePull ends the pause after a failed call, and a call without an outcome.
 func (u *directoryUpdater) expireTablePull() {
-	if u.tablePull.retryAt != 0 && !u.clock.Now().Before(u.tablePull.retryAt) {
+	if !u.clock.Now().Before(u.tablePull.retryAt) {
 		u.tablePull.pending = false
-		u.tablePull.retryAt = 0
 	}
 }
 
--- a/io/hickoryfabric/table_test.go
+++ b/io/hickoryfabric/table_test.go
@@ -64,6 +64,19 @@
 	f.is.True(time.Since(begun) >= tableRetryPause)
 }
 
+// TestLostOutcomeOfTableCall guards against a balancer that asks for no configuration any
+// more, because the outcome of one call for it met a full ring.
+func TestLostOutcomeOfTableCall(t *testing.T) {
+	f := newConfirmationFixture(t)
+	f.answer(listing())
+	f.followed(hickorymessage.ChangesReply{Current: true, TableDue: true})
+	f.is.True(f.updater.tablePull.pending)
+	f.is.True(f.updater.tablePull.retryAt > f.updater.clock.Now().Add(tableTimeout)) // a call may take that long
+	f.updater.tablePull.retryAt = f.updater.clock.Now()
+	f.updater.expireTablePull()
+	f.is.True(!f.updater.tablePull.pending)
+}
+
 // TestUnfitUpdateIsReplaced guards against a balancer that asks for the same update of a
 // configuration for ever, although it lacks the version that the update starts from.
 func TestUnfitUpdateIsReplaced(t *testing.T) {
