--- a/review/11/testdata/standin/process.go
+++ b/review/11/testdata/standin/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -90,6 +91,25 @@
 	return nil
 }
 
+// ticksPerSecond is the unit of the processor times in /proc.
+const ticksPerSecond = 100
+
+// processorTime returns the processor time that the process has used.
+func (p *process) processorTime() time.Duration {
+	p.mutex.Lock()
+	pid := p.running.Process.Pid
+	p.mutex.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, rest, found := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if err != nil || !found || len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
 // stop sends a signal that ends the process, and SIGKILL after the grace time.
 func (p *process) stop(signal syscall.Signal) {
 	p.mutex.Lock()
--- a/review/11/testdata/standin/scenarios.go
+++ b/review/11/testdata/standin/scenarios.go
@@ -17,6 +17,9 @@
 	busyRate = 150
 	// drillAway is how long the store is away in a drill.
 	drillAway = time.Second
+	// settledTime is the time from the store's return, or from the same moment without a
+	// drill, to the planned work: the store is stable by then.
+	settledTime = stableWindow + 2*time.Second
 	// servesOn is how long a host that drains serves after the bound of its service.
 	servesOn = 5 * time.Second
 	// powerlessTime is how long machines are without power.
@@ -68,13 +71,29 @@
 	if trouble {
 		w.drill(copied)
 	}
-	time.Sleep(stableWindow + 2*time.Second)
+	w.settle()
 	w.drainAndCheck(added)
 	wait()
 	w.reportUnanswered(added)
 	return nil
 }
 
+// settle waits for settledTime, and says what the front machines do meanwhile.
+func (w *world) settle() {
+	calls, used := w.store.callsSoFar(), w.processorTimeOfFronts()
+	time.Sleep(settledTime)
+	calls, used = w.store.callsSoFar()-calls, w.processorTimeOfFronts()-used
+	w.record.say("in %s the store got %d calls, and a front machine used %.3f cores", settledTime, calls, used.Seconds()/settledTime.Seconds()/float64(len(w.fronts)))
+}
+
+func (w *world) processorTimeOfFronts() time.Duration {
+	used := time.Duration(0)
+	for _, p := range w.fronts {
+		used += p.processorTime()
+	}
+	return used
+}
+
 // drainAndCheck drains a host and ends it some seconds later. No first packet may reach it
 // later than the bound after the store has acknowledged that it drains.
 func (w *world) drainAndCheck(h *host) {
@@ -118,7 +137,7 @@
 	if trouble {
 		w.drill(copied)
 	}
-	time.Sleep(stableWindow + 2*time.Second)
+	w.settle()
 	zone := w.zones[1]
 	acknowledged, _ := w.store.put("op/evacuate/"+zone, "{}")
 	time.Sleep(evacuateBound + 6*time.Second)
--- a/review/11/testdata/standin/store.go
+++ b/review/11/testdata/standin/store.go
@@ -22,6 +22,8 @@
 	// stays without one.
 	heartbeat = 1200 * time.Millisecond
 	entryLife = 3 * heartbeat
+	// readsPerSecond is the number of calls that all machines together may make.
+	readsPerSecond = 2000
 	// maxPageItems is the size of a page of a listing.
 	maxPageItems = 500
 )
@@ -45,6 +47,9 @@
 	revision int
 	era      int
 	away     bool
+	// calls counts the calls, refused ones too; second has those since secondAt.
+	calls, second int
+	secondAt      time.Time
 	// beats has the last heartbeat of each host's key.
 	beats map[string]time.Time
 	// wake is closed and replaced at each change.
@@ -70,7 +75,10 @@
 		if s.isAway() {
 			panic(http.ErrAbortHandler)
 		}
-		status, body := call(request)
+		status, body := http.StatusTooManyRequests, map[string]any{}
+		if s.takeCall() {
+			status, body = call(request)
+		}
 		if s.isAway() || request.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -90,6 +98,25 @@
 	return s.away
 }
 
+// takeCall counts a call and reports whether it is within readsPerSecond.
+func (s *store) takeCall() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if time.Since(s.secondAt) >= time.Second {
+		s.second, s.secondAt = 0, time.Now()
+	}
+	s.calls++
+	s.second++
+	return s.second <= readsPerSecond
+}
+
+// callsSoFar returns the number of calls.
+func (s *store) callsSoFar() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
 func (c *change) body() map[string]any {
 	if c.deleted {
 		return map[string]any{"key": c.key, "revision": c.revision, "deleted": true}
