--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Builds the stand-in of the cases 11 to 14. It starts no other one.
+# Builds the stand-in of the cases 11 to 13, the only one that they start.
 cd "$(dirname "$0")/.." || exit 2
-exec go build -o target/review-standin ./review/11/testdata/standin
+exec go build -o target/review-standin-3 ./review/11/testdata/standin
